--- /dev/null
+++ b/src/core/batch/agent.cpp
@@ -0,0 +1,332 @@
+#include "core/batch/agent.h"
+
+#include "core/batch/board.h"
+
+#include <algorithm>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// Without news an agent reports this often; also its heartbeat.
+constexpr milliseconds reportPeriod{500};
+
+/// How often a start without an answer is repeated before it is taken back.
+constexpr int maxStartTries = 3;
+
+/// Outcomes of orders are reported for this long, which outlasts a lost connection.
+constexpr milliseconds orderKept{10'000};
+
+/// An executor's clock may be 2 % slow.
+constexpr Duration onSlowClock(Duration length)
+{
+    return length * 51 / 50;
+}
+
+/// Nothing listened at the executor's address this many times in a row: it has crashed, and a crashed executor runs nothing.
+constexpr int refusalsOfDead = 2;
+
+}
+
+AgentCore::AgentCore(std::string name, milliseconds stopLimit)
+    : name_(std::move(name))
+    , stopLimit_(stopLimit)
+{
+}
+
+std::vector<AgentOutput> AgentCore::step(Instant now, std::vector<AgentInput> inputs)
+{
+    now_ = now;
+    for (const AgentInput &input : inputs) {
+        std::visit([this](const auto &any) { take(any); }, input);
+    }
+    forgetOldOrders();
+    if (reportDue_ || now_ - reportedAt_ >= reportPeriod) {
+        reportDue_ = false;
+        reportedAt_ = now_;
+        outputs_.emplace_back(report());
+    }
+    return std::exchange(outputs_, {});
+}
+
+HoldCall AgentCore::nextHold(Instant now)
+{
+    now_ = now;
+    return {epoch_, acknowledged_, leaseEnd()};
+}
+
+ExecutorTime AgentCore::executorClock(Instant at) const
+{
+    return clock_ + std::chrono::duration_cast<milliseconds>(at - clockAt_);
+}
+
+std::optional<ExecutorTime> AgentCore::leaseEnd()
+{
+    const Instant end = std::min(now_ + leaseLength, permitEnd_);
+    if (!clockKnown_ || end <= now_) {
+        return std::nullopt;
+    }
+    lastLeaseEnd_ = std::max(lastLeaseEnd_, now_ + onSlowClock(end - now_));
+    return executorClock(end);
+}
+
+void AgentCore::take(const Directive &directive)
+{
+    if (directive.epoch_ < epoch_) {
+        log("directive-ignored", {{"epoch", std::to_string(directive.epoch_)}, {"obeyed", std::to_string(epoch_)}});
+        return;
+    }
+    if (directive.epoch_ > epoch_) {
+        log("leader-obeyed", {{"epoch", std::to_string(directive.epoch_)}, {"before", std::to_string(epoch_)}});
+        epoch_ = directive.epoch_;
+        listsValid_ = false;
+        reportDue_ = true;
+    }
+    const Instant echo{directive.echoSentAt_};
+    if (directive.permit_) {
+        permitEnd_ = std::max(permitEnd_, echo + permitLength);
+    }
+    if (directive.life_ != executor_.life_) {
+        return;
+    }
+    acknowledged_ = std::max(acknowledged_, directive.acknowledged_);
+    for (const RunId &run : directive.stops_) {
+        beginStop(run);
+    }
+    if (now_ - echo > startFreshness) {
+        return; // the leader repeats what it still wants
+    }
+    for (const StartOrder &start : directive.starts_) {
+        beginStart(start);
+    }
+}
+
+void AgentCore::beginStart(const StartOrder &start)
+{
+    if (orders_.contains(start.run_)) {
+        return;
+    }
+    Order order{OrderPhase::Starting, executor_.life_, start, now_};
+    if (executor_.draining_ || executor_.left_) {
+        order.phase_ = OrderPhase::Refused;
+        reportDue_ = true;
+        log("start-refused", {{"run", toString(start.run_)}, {"reason", "draining"}});
+    }
+    Order &entered = orders_.emplace(start.run_, std::move(order)).first->second;
+    if (entered.phase_ == OrderPhase::Starting) {
+        callStart(start.run_, entered);
+    }
+}
+
+void AgentCore::callStart(const RunId &run, Order &order)
+{
+    const auto end = leaseEnd();
+    if (!end) {
+        orders_.erase(run); // no lease can be given yet; the leader repeats the order
+        return;
+    }
+    ++order.tries_;
+    outputs_.emplace_back(CallStart{order.life_, order.start_, *end, epoch_});
+}
+
+void AgentCore::beginStop(const RunId &run)
+{
+    Order &order = orders_[run];
+    if (order.phase_ == OrderPhase::Stopping || order.phase_ == OrderPhase::Stopped || order.phase_ == OrderPhase::Gone
+        || order.phase_ == OrderPhase::Refused) {
+        return;
+    }
+    order.phase_ = OrderPhase::Stopping;
+    order.life_ = executor_.life_;
+    order.since_ = now_;
+    callStop(run, order);
+}
+
+void AgentCore::callStop(const RunId &run, const Order &order)
+{
+    outputs_.emplace_back(CallStop{order.life_, run, epoch_});
+}
+
+void AgentCore::take(const StartAnswered &answer)
+{
+    const auto found = orders_.find(answer.run_);
+    if (found == orders_.end() || found->second.phase_ != OrderPhase::Starting) {
+        return; // a stop has overtaken it
+    }
+    Order &order = found->second;
+    if (answer.answer_ == OrderAnswer::Unknown) {
+        log("start-unanswered", {{"run", toString(answer.run_)}, {"tries", std::to_string(order.tries_)}, {"reason", answer.reason_}});
+        if (order.tries_ < maxStartTries) {
+            callStart(answer.run_, order);
+        } else {
+            beginStop(answer.run_);
+        }
+        return;
+    }
+    const bool accepted = answer.answer_ == OrderAnswer::Accepted;
+    order.phase_ = accepted ? OrderPhase::Started : OrderPhase::Refused;
+    order.since_ = now_;
+    reportDue_ = reportDue_ || !accepted;
+    log(accepted ? "started" : "start-refused", {{"run", toString(answer.run_)}, {"reason", answer.reason_}});
+}
+
+void AgentCore::take(const StopAnswered &answer)
+{
+    const auto found = orders_.find(answer.run_);
+    if (found == orders_.end() || found->second.phase_ != OrderPhase::Stopping) {
+        return;
+    }
+    if (answer.answer_ == OrderAnswer::Unknown) {
+        callStop(answer.run_, found->second);
+        return;
+    }
+    found->second.phase_ = OrderPhase::Stopped;
+    found->second.since_ = now_;
+}
+
+void AgentCore::take(const HeartbeatSeen &beat)
+{
+    const Incarnation &life = beat.executor_.life_;
+    const bool sameLife = life == executor_.life_;
+    if (life.born_ < executor_.life_.born_ || (sameLife && beat.sequence_ <= beatSequence_)) {
+        log("heartbeat-ignored", {{"executor", life.executor_.str()}, {"born", std::to_string(life.born_)}});
+        return;
+    }
+    if (!sameLife) {
+        log("executor-seen", {{"executor", life.executor_.str()}, {"born", std::to_string(life.born_)}});
+        listsValid_ = false;
+        clockKnown_ = false;
+        acknowledged_ = 0;
+        orders_.clear();
+        lastLeaseEnd_ = now_ + onSlowClock(leaseLength); // a former process of this agent may have given a lease just now
+    }
+    const bool news = !sameLife || beat.executor_.draining_ != executor_.draining_;
+    reportDue_ = reportDue_ || news;
+    beatSequence_ = beat.sequence_;
+    const bool left = sameLife && executor_.left_;
+    executor_ = beat.executor_;
+    executor_.left_ = left;
+}
+
+void AgentCore::take(const ExecutorLeft &left)
+{
+    if (left.executor_ != executor_.life_.executor_) {
+        return;
+    }
+    log("executor-left", {{"executor", left.executor_.str()}});
+    executor_.left_ = true;
+    reportDue_ = true;
+}
+
+void AgentCore::take(const HoldAnswered &answer)
+{
+    refusals_ = 0;
+    if (answer.born_ != executor_.life_.born_ || executor_.life_.executor_.empty()) {
+        return; // its heartbeat tells who it is now
+    }
+    // The answer was written after the call was sent, so the executor's clock can't have been ahead of this then.
+    clock_ = answer.clock_;
+    clockAt_ = now_;
+    clockKnown_ = true;
+    if (answer.epoch_ != epoch_ || epoch_ == 0) {
+        return;
+    }
+    const bool changed = !listsValid_ || answer.running_.size() != running_.size() || !answer.ended_.empty();
+    listsValid_ = true;
+    running_ = answer.running_;
+    ended_ = answer.ended_;
+    std::erase_if(ended_, [this](const EndedRun &end) { return end.number_ <= acknowledged_; });
+    settleOrders(answer);
+    reportDue_ = reportDue_ || changed;
+}
+
+void AgentCore::settleOrders(const HoldAnswered &answer)
+{
+    std::map<RunId, bool> listed;
+    for (const RunningTask &task : answer.running_) {
+        listed[task.run_] = true;
+    }
+    for (const EndedRun &end : answer.ended_) {
+        listed[end.run_] = true;
+    }
+    for (auto &[run, order] : orders_) {
+        const bool overdue = answer.sentAt_ > order.since_ + stopLimit_;
+        if (order.phase_ == OrderPhase::Stopped && overdue && !listed.contains(run)) {
+            order.phase_ = OrderPhase::Gone;
+            order.since_ = now_;
+            reportDue_ = true;
+        }
+        if (order.phase_ == OrderPhase::Started && answer.sentAt_ > order.since_) {
+            order.listed_ = true;
+        }
+    }
+}
+
+void AgentCore::take(const HoldFailed &failure)
+{
+    refusals_ = failure.refused_ ? refusals_ + 1 : 0;
+    if (executor_.life_.executor_.empty() || epoch_ == 0) {
+        return;
+    }
+    if (refusals_ >= refusalsOfDead) {
+        declareEmpty("executor-gone");
+    } else if (clockKnown_ && now_ > lastLeaseEnd_) {
+        declareEmpty("lease-over");
+    }
+}
+
+void AgentCore::declareEmpty(const char *reason)
+{
+    if (listsValid_ && running_.empty() && ended_.empty() && orders_.empty()) {
+        return;
+    }
+    log("executor-empty", {{"executor", executor_.life_.executor_.str()}, {"reason", reason}});
+    listsValid_ = true;
+    running_.clear();
+    ended_.clear();
+    for (auto &[run, order] : orders_) {
+        order.phase_ = order.phase_ == OrderPhase::Starting ? OrderPhase::Refused : OrderPhase::Gone;
+        order.since_ = now_;
+    }
+    reportDue_ = true;
+}
+
+void AgentCore::forgetOldOrders()
+{
+    std::erase_if(orders_, [this](const auto &entry) {
+        const OrderPhase phase = entry.second.phase_;
+        const bool open = phase == OrderPhase::Starting || phase == OrderPhase::Stopping || phase == OrderPhase::Stopped;
+        return !open && now_ - entry.second.since_ > orderKept;
+    });
+}
+
+Report AgentCore::report()
+{
+    Report report;
+    report.agent_ = name_;
+    report.sequence_ = ++sequence_;
+    report.sentAt_ = now_.time_since_epoch();
+    report.epoch_ = epoch_;
+    report.listsValid_ = listsValid_;
+    report.executor_ = executor_;
+    report.running_ = running_;
+    report.ended_ = ended_;
+    for (const auto &[run, order] : orders_) {
+        const bool unlisted = order.phase_ == OrderPhase::Started && !order.listed_;
+        if (order.phase_ == OrderPhase::Starting || unlisted) {
+            report.starting_.push_back(run);
+        } else if (order.phase_ == OrderPhase::Refused) {
+            report.settled_.push_back({run, OrderOutcome::Refused});
+        } else if (order.phase_ == OrderPhase::Gone) {
+            report.settled_.push_back({run, OrderOutcome::StopConfirmed});
+        }
+    }
+    return report;
+}
+
+void AgentCore::log(std::string event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    outputs_.emplace_back(AgentLog{std::move(event), std::move(fields)});
+}
+
+}
--- /dev/null
+++ b/src/core/batch/agent.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "core/batch/messages.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace bergamotwick::batch {
+
+/// How long a lease is that the agent gives its executor at a time; bridges a restart or a short freeze of the agent.
+constexpr milliseconds leaseLength{5'000};
+
+/// A start is passed on only if the leader had heard from this agent this recently: a directive held up on the way is void.
+constexpr milliseconds startFreshness{2'000};
+
+// Inputs
+
+struct HeartbeatSeen
+{
+    ExecutorFacts executor_;
+    std::int64_t sequence_ = 0;
+};
+
+struct ExecutorLeft
+{
+    ExecutorId executor_;
+};
+
+/// An answer to AgentCore::nextHold().
+struct HoldAnswered
+{
+    Instant sentAt_{};
+    std::int64_t epoch_ = 0;
+    std::int64_t born_ = 0;
+    ExecutorTime clock_{0};
+    std::vector<RunningTask> running_;
+    std::vector<EndedRun> ended_;
+};
+
+struct HoldFailed
+{
+    bool refused_ = false; ///< nothing listens at the executor's address: its process is gone
+};
+
+/// How an order was taken.
+enum class OrderAnswer : std::uint8_t {
+    Accepted,
+    Refused, ///< not carried out and never will be
+    Unknown, ///< it may be carried out, even seconds later
+};
+
+struct StartAnswered
+{
+    RunId run_;
+    OrderAnswer answer_ = OrderAnswer::Unknown;
+    std::string reason_;
+};
+
+struct StopAnswered
+{
+    RunId run_;
+    OrderAnswer answer_ = OrderAnswer::Unknown;
+};
+
+using AgentInput = std::variant<Directive, HeartbeatSeen, ExecutorLeft, HoldAnswered, HoldFailed, StartAnswered, StopAnswered>;
+
+// Outputs
+
+struct CallStart
+{
+    Incarnation life_;
+    StartOrder order_;
+    ExecutorTime leaseEnd_{0};
+    std::int64_t epoch_ = 0;
+};
+
+struct CallStop
+{
+    Incarnation life_;
+    RunId run_;
+    std::int64_t epoch_ = 0;
+};
+
+struct AgentLog
+{
+    std::string event_;
+    std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+using AgentOutput = std::variant<CallStart, CallStop, Report, AgentLog>;
+
+/// What to ask of the executor next.
+struct HoldCall
+{
+    std::int64_t epoch_ = 0;
+    std::int64_t acknowledged_ = 0;
+    std::optional<ExecutorTime> leaseEnd_; ///< nothing while no leader's word is fresh enough
+};
+
+/// Decides what the process beside an executor does: whom it obeys, which orders it passes on, how long leases last, what it reports.
+///
+/// Thread safety: none; calls are serialised by the caller.
+class AgentCore
+{
+public:
+    AgentCore(std::string name, milliseconds stopLimit);
+
+    /// Takes \p inputs in and returns what is to be done.
+    [[nodiscard]] std::vector<AgentOutput> step(Instant now, std::vector<AgentInput> inputs);
+
+    /// Returns the next call for the executor's lists, and notes the lease that it gives.
+    [[nodiscard]] HoldCall nextHold(Instant now);
+
+    /// Returns the highest fencing token that this agent obeys.
+    [[nodiscard]] std::int64_t epoch() const noexcept
+    {
+        return epoch_;
+    }
+
+private:
+    enum class OrderPhase : std::uint8_t {
+        Starting,
+        Started,
+        Refused,
+        Stopping,
+        Stopped, ///< the stop was answered; the run may take the stop limit to end
+        Gone, ///< a stop was answered and the run isn't at work
+    };
+
+    struct Order
+    {
+        OrderPhase phase_ = OrderPhase::Starting;
+        Incarnation life_;
+        StartOrder start_;
+        Instant since_{};
+        int tries_ = 0;
+        bool listed_ = false; ///< lists read since the start speak for it
+    };
+
+    void take(const Directive &directive);
+    void take(const HeartbeatSeen &beat);
+    void take(const ExecutorLeft &left);
+    void take(const HoldAnswered &answer);
+    void take(const HoldFailed &failure);
+    void take(const StartAnswered &answer);
+    void take(const StopAnswered &answer);
+
+    void beginStart(const StartOrder &start);
+    void beginStop(const RunId &run);
+    void callStart(const RunId &run, Order &order);
+    void callStop(const RunId &run, const Order &order);
+    void settleOrders(const HoldAnswered &answer);
+    void declareEmpty(const char *reason);
+    void forgetOldOrders();
+    void log(std::string event, std::vector<std::pair<std::string, std::string>> fields);
+    [[nodiscard]] ExecutorTime executorClock(Instant at) const;
+    [[nodiscard]] std::optional<ExecutorTime> leaseEnd();
+    [[nodiscard]] Report report();
+
+    std::string name_;
+    milliseconds stopLimit_;
+    Instant now_{};
+    std::int64_t epoch_ = 0;
+    Instant permitEnd_{};
+    std::optional<Directive> latest_;
+    ExecutorFacts executor_;
+    std::int64_t beatSequence_ = 0;
+    bool clockKnown_ = false;
+    ExecutorTime clock_{0}; ///< at clockAt_
+    Instant clockAt_{};
+    Instant lastLeaseEnd_{}; ///< by when every lease given so far has ended, whatever the executor's clock
+    int refusals_ = 0;
+    bool listsValid_ = false;
+    std::int64_t listsEpoch_ = 0;
+    std::vector<RunningTask> running_;
+    std::vector<EndedRun> ended_;
+    std::map<RunId, Order> orders_;
+    std::int64_t acknowledged_ = 0;
+    std::uint64_t sequence_ = 0;
+    Instant reportedAt_{};
+    bool reportDue_ = true;
+    std::vector<AgentOutput> outputs_;
+};
+
+}
--- /dev/null
+++ b/src/core/batch/board.cpp
@@ -0,0 +1,55 @@
+#include "core/batch/board.h"
+
+namespace bergamotwick::batch {
+
+std::string Executor::rack() const
+{
+    // The first label is the executor's kind, the second its rack.
+    return facts_.labels_.size() > 1 ? facts_.labels_[1] : std::string();
+}
+
+std::vector<Group> groupsOf(const Submission &job)
+{
+    std::vector<Group> groups;
+    std::size_t first = 0;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        for (std::uint32_t step = 0; step < job.steps_.size(); ++step) {
+            groups.push_back({occurrence, step, first});
+            first += job.steps_[step].count_;
+        }
+    }
+    return groups;
+}
+
+TaskId taskOf(const Submission &job, const Group &group, std::size_t index)
+{
+    return {job.id_, group.occurrence_, group.step_, static_cast<std::uint32_t>(index - group.first_)};
+}
+
+std::optional<std::size_t> indexOf(const Submission &job, const TaskId &task)
+{
+    if (task.occurrence_ >= job.occurrences() || task.step_ >= job.steps_.size() || task.index_ >= job.steps_[task.step_].count_) {
+        return std::nullopt;
+    }
+    return groupOf(job, task).first_ + task.index_;
+}
+
+Group groupOf(const Submission &job, const TaskId &task)
+{
+    std::size_t perOccurrence = 0;
+    std::size_t before = 0;
+    for (std::uint32_t step = 0; step < job.steps_.size(); ++step) {
+        before += step < task.step_ ? job.steps_[step].count_ : 0;
+        perOccurrence += job.steps_[step].count_;
+    }
+    return {task.occurrence_, task.step_, perOccurrence * task.occurrence_ + before};
+}
+
+std::string toString(const RunId &run)
+{
+    const TaskId &task = run.task_;
+    return task.job_.str() + "." + std::to_string(task.occurrence_) + "." + std::to_string(task.step_) + "." + std::to_string(task.index_) + "/"
+        + std::to_string(run.run_);
+}
+
+}
--- /dev/null
+++ b/src/core/batch/board.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "core/batch/cluster_config.h"
+#include "core/batch/job.h"
+#include "core/batch/messages.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamotwick::batch {
+
+/// Limits that the leader keeps to; they come from the settings.
+struct LeaderLimits
+{
+    milliseconds leaseTtl_{1'500}; ///< of the leader's key; no orders once it may have run out
+    milliseconds stopLimit_{1'000}; ///< longest time that a stop takes
+    milliseconds gangTimeout_{3'000};
+    milliseconds statusKept_{120'000};
+    double spreadFactor_ = 3.0; ///< how much slower a task is away from its data or its gang
+};
+
+/// Without a successful call to the store for this long, a leader no longer lets agents extend leases.
+constexpr milliseconds permitFreshness{3'000};
+
+/// How long after its report an agent may keep extending leases on the strength of the answer.
+constexpr milliseconds permitLength{8'000};
+
+/// How far clocks may be apart over permitLength (2 %), and what a call may take on the way.
+constexpr milliseconds permitSlack{500};
+
+/// An executor whose agent has been silent for this long gets no new work: two missed reports.
+constexpr milliseconds silenceLimit{1'300};
+
+/// Stages of a run in the leader's eyes.
+enum class RunPhase : std::uint8_t {
+    Committing, ///< its record isn't stored yet; no order has left
+    Starting, ///< the order may have left
+    Running, ///< its executor has listed it
+    Stopping, ///< it is to end
+};
+
+/// Room that is taken on an executor: from the decision to start until the end is certain.
+struct Run
+{
+    RunId id_;
+    Incarnation place_;
+    Room room_;
+    RunPhase phase_ = RunPhase::Committing;
+    bool recovered_ = false; ///< known from the store only: a former leader gave it out
+    std::uint64_t version_ = 0; ///< of the job's record that has to be stored before the order leaves
+    Instant startedAt_{};
+    std::int32_t percent_ = 0;
+    Instant progressAt_{}; ///< when percent_ last rose
+};
+
+/// An end that may be acknowledged once the job's record holds it.
+struct PendingEnd
+{
+    std::int64_t number_ = 0;
+    JobId job_;
+    std::uint64_t version_ = 0;
+};
+
+struct Executor
+{
+    ExecutorFacts facts_;
+    std::string agent_;
+    bool reported_ = false; ///< to this leader
+    Instant lastReport_{};
+    Instant lastPermit_{}; ///< when a directive that lets leases be extended was last sent
+    std::set<RunId> runs_;
+    Room used_; ///< by runs_
+    std::map<std::pair<JobId, std::size_t>, Room> reserved_; ///< by job and first task of the group whose room is being cleared
+    std::vector<PendingEnd> pendingEnds_;
+    std::int64_t acknowledged_ = 0;
+    std::vector<RunId> orphans_; ///< at work there without a record that says so
+    std::set<JobId> failedJobs_; ///< jobs that failed here since the last task ended well
+    Instant asideUntil_{};
+
+    /// Returns the rack that the executor's labels name, or an empty text.
+    [[nodiscard]] std::string rack() const;
+};
+
+/// Executors that are kept free for tasks of a job whose room is being cleared.
+struct Reservation
+{
+    std::vector<Incarnation> places_; ///< for each waiting task of the group, in order
+    Instant until_{};
+};
+
+struct Job
+{
+    Submission submission_;
+    Progress progress_;
+    std::int64_t revision_ = 0; ///< of the stored progress; 0: none is stored
+    std::uint64_t version_ = 0; ///< rises with each change of progress_
+    std::uint64_t storedVersion_ = 0;
+    Instant acceptedAt_{};
+    std::int32_t priority_ = 0;
+    std::int32_t maxAttempts_ = 1;
+    double stretch_ = 1.0;
+    milliseconds targetLatency_{0};
+    std::map<std::size_t, std::set<ExecutorId>> avoid_; ///< executors on which a task has failed or stood still
+    std::map<std::size_t, Reservation> reservations_; ///< by the first task of the group
+    bool removing_ = false;
+
+    [[nodiscard]] bool dirty() const noexcept
+    {
+        return version_ > storedVersion_;
+    }
+
+    void touch() noexcept
+    {
+        ++version_;
+    }
+};
+
+/// Addresses the tasks of one step of one occurrence.
+struct Group
+{
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+    std::size_t first_ = 0; ///< index of its first task in Progress::tasks_
+};
+
+/// An agent and what it last said.
+struct Agent
+{
+    ExecutorId executor_;
+    std::uint64_t sequence_ = 0;
+    Duration sentAt_{};
+    bool directiveDue_ = false;
+};
+
+/// One line for the log: a decision or a change of belief.
+struct Decision
+{
+    std::string event_;
+    std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+/// All that the leader knows; its controllers read and write it.
+struct Board
+{
+    LeaderLimits limits_;
+    Instant now_{};
+    CalendarTime calendar_{};
+    std::int64_t epoch_ = 0;
+    Instant leaderSince_{};
+    Instant storeSeen_{}; ///< when the last successful renewal of the leader's lease was sent
+    ClusterConfig config_;
+    std::set<DataCentreId> evacuated_;
+    std::map<JobId, Job> jobs_;
+    std::map<ExecutorId, Executor> executors_;
+    std::map<std::string, Agent> agents_;
+    std::map<RunId, Run> runs_;
+    std::vector<Decision> decisions_;
+
+    /// Returns whether orders may leave: the leader's key can't have lapsed.
+    [[nodiscard]] bool mayOrder() const noexcept
+    {
+        return now_ - storeSeen_ < limits_.leaseTtl_;
+    }
+
+    [[nodiscard]] bool mayPermit() const noexcept
+    {
+        return now_ - storeSeen_ < permitFreshness;
+    }
+
+    void decide(std::string event, std::vector<std::pair<std::string, std::string>> fields)
+    {
+        decisions_.push_back({std::move(event), std::move(fields)});
+    }
+};
+
+/// Returns the groups of \p job, in order. Thread-safe on const objects.
+[[nodiscard]] std::vector<Group> groupsOf(const Submission &job);
+
+/// Returns the name of the task at \p index of \p group. Thread-safe.
+[[nodiscard]] TaskId taskOf(const Submission &job, const Group &group, std::size_t index);
+
+/// Returns where \p task lies in Progress::tasks_; nothing if the job has no such task. Thread-safe.
+[[nodiscard]] std::optional<std::size_t> indexOf(const Submission &job, const TaskId &task);
+
+/// Returns the group of \p task. Precondition: indexOf() finds it. Thread-safe.
+[[nodiscard]] Group groupOf(const Submission &job, const TaskId &task);
+
+/// Returns "JOB.OCCURRENCE.STEP.INDEX/RUN" for the log. Thread-safe.
+[[nodiscard]] std::string toString(const RunId &run);
+
+}
--- /dev/null
+++ b/src/core/batch/codec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "bergamotwick/error.h"
+#include "core/batch/job.h"
+#include "core/batch/messages.h"
+
+#include <string>
+#include <string_view>
+
+namespace bergamotwick::batch {
+
+/// Bytes for the store and for other processes, with a format version and a checksum. Thread-safe.
+[[nodiscard]] std::string encode(const Submission &value);
+[[nodiscard]] std::string encode(const Progress &value);
+[[nodiscard]] std::string encode(const Report &value);
+[[nodiscard]] std::string encode(const Directive &value);
+
+/// Read what encode() wrote. Errors: WireError (truncated, wrong version, corrupt). Thread-safe.
+[[nodiscard]] Result<Submission> decodeSubmission(std::string_view bytes);
+[[nodiscard]] Result<Progress> decodeProgress(std::string_view bytes);
+[[nodiscard]] Result<Report> decodeReport(std::string_view bytes);
+[[nodiscard]] Result<Directive> decodeDirective(std::string_view bytes);
+
+}
--- /dev/null
+++ b/src/core/batch/placing.cpp
@@ -0,0 +1,250 @@
+#include "core/batch/placing.h"
+
+#include "core/batch/ledger.h"
+#include "core/batch/preemption.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// Away from its data or its gang a task is slower by the spread factor; urgent work gives up waiting for the right rack this soon.
+constexpr milliseconds urgentRackPatience{600};
+
+/// Rooms that are being handed out while a group is placed.
+class Draft
+{
+public:
+    Draft(const std::vector<Executor *> &executors, const WaitingGroup &group)
+        : group_(group)
+    {
+        for (const Executor *executor : executors) {
+            places_.push_back({executor, freeRoom(*executor, group.job_->submission_.id_, group.group_.first_), allowance(*executor, group)});
+        }
+    }
+
+    /// Takes the fullest place that fits \p task; preferred racks come first. Returns nothing if none fits.
+    [[nodiscard]] const Executor *take(std::size_t task, const std::string &rack, bool onlyRack)
+    {
+        const Room each = step().counted();
+        const auto avoided = group_.job_->avoid_.find(task);
+        Place *best = nullptr;
+        for (Place &place : places_) {
+            const bool shunned = avoided != group_.job_->avoid_.end() && avoided->second.contains(place.executor_->facts_.life_.executor_);
+            if (!place.free_.covers(each) || place.allowance_ == 0 || shunned || (onlyRack && place.executor_->rack() != rack)) {
+                continue;
+            }
+            if (best == nullptr || isBetter(place, *best, rack)) {
+                best = &place;
+            }
+        }
+        if (best == nullptr) {
+            return nullptr;
+        }
+        best->free_ -= each;
+        --best->allowance_;
+        return best->executor_;
+    }
+
+private:
+    struct Place
+    {
+        const Executor *executor_ = nullptr;
+        Room free_;
+        std::uint32_t allowance_ = 0;
+    };
+
+    [[nodiscard]] const Step &step() const
+    {
+        return group_.job_->submission_.steps_[group_.group_.step_];
+    }
+
+    [[nodiscard]] static bool isBetter(const Place &left, const Place &right, const std::string &rack)
+    {
+        const bool leftNear = left.executor_->rack() == rack;
+        const bool rightNear = right.executor_->rack() == rack;
+        if (leftNear != rightNear) {
+            return leftNear;
+        }
+        if (left.free_.accelerators_ != right.free_.accelerators_) {
+            return left.free_.accelerators_ < right.free_.accelerators_;
+        }
+        return left.free_.memoryMb_ < right.free_.memoryMb_;
+    }
+
+    const WaitingGroup &group_;
+    std::vector<Place> places_;
+};
+
+std::vector<std::string> racksOf(const std::vector<Executor *> &executors)
+{
+    std::vector<std::string> racks;
+    for (const Executor *executor : executors) {
+        racks.push_back(executor->rack());
+    }
+    std::sort(racks.begin(), racks.end());
+    racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+    return racks;
+}
+
+/// How long a group waits for the right rack before it takes any.
+milliseconds rackPatience(const Board &board, const WaitingGroup &group)
+{
+    if (group.job_->priority_ == 0) {
+        return urgentRackPatience;
+    }
+    const milliseconds estimate = group.job_->submission_.steps_[group.group_.step_].estimate_;
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * (board.limits_.spreadFactor_ - 1) / 2));
+}
+
+bool isOutOfPatience(const Board &board, const WaitingGroup &group)
+{
+    return board.now_ - group.job_->acceptedAt_ > rackPatience(board, group);
+}
+
+/// Places as many tasks as fit, on \p rack only if \p onlyRack.
+Placement fill(const std::vector<Executor *> &executors, const WaitingGroup &group, const std::string &rack, bool onlyRack)
+{
+    Draft draft(executors, group);
+    Placement placement;
+    for (const std::size_t task : group.tasks_) {
+        const Executor *executor = draft.take(task, rack, onlyRack);
+        if (executor != nullptr) {
+            placement.emplace_back(task, executor->facts_.life_);
+        }
+    }
+    return placement;
+}
+
+/// Places a group that is slower when it is spread over racks.
+Placement fillOneRack(Board &board, const std::vector<Executor *> &executors, const WaitingGroup &group)
+{
+    Placement best;
+    for (const std::string &rack : racksOf(executors)) {
+        Placement placement = fill(executors, group, rack, true);
+        if (placement.size() > best.size()) {
+            best = std::move(placement);
+        }
+        if (best.size() == group.tasks_.size()) {
+            return best;
+        }
+    }
+    if (isOutOfPatience(board, group)) {
+        return fill(executors, group, "", false);
+    }
+    const bool gang = group.job_->submission_.steps_[group.group_.step_].gang_;
+    return gang ? Placement() : best;
+}
+
+Placement findPlacement(Board &board, const WaitingGroup &group)
+{
+    const Step &step = group.job_->submission_.steps_[group.group_.step_];
+    const std::vector<Executor *> executors = candidates(board, group);
+    Placement placement;
+    if (step.sameRack_) {
+        placement = fillOneRack(board, executors, group);
+    } else {
+        const bool onlyRack = !step.affinity_.empty() && !isOutOfPatience(board, group);
+        placement = fill(executors, group, step.affinity_, onlyRack);
+    }
+    if (step.gang_ && placement.size() < group.tasks_.size()) {
+        placement.clear();
+    }
+    return placement;
+}
+
+std::string placesOf(const Placement &placement)
+{
+    std::string text;
+    for (const auto &[task, place] : placement) {
+        text += (text.empty() ? "" : ",") + place.executor_.str();
+    }
+    return text;
+}
+
+}
+
+std::vector<Executor *> candidates(Board &board, const WaitingGroup &group)
+{
+    const Step &step = group.job_->submission_.steps_[group.group_.step_];
+    std::vector<Executor *> found;
+    for (auto &[id, executor] : board.executors_) {
+        const auto &labels = executor.facts_.labels_;
+        const bool labelled = step.constraint_.empty() || std::find(labels.begin(), labels.end(), step.constraint_) != labels.end();
+        if (labelled && isUsable(board, executor, group.job_->submission_.service_)) {
+            found.push_back(&executor);
+        }
+    }
+    return found;
+}
+
+std::uint32_t allowance(const Executor &executor, const WaitingGroup &group)
+{
+    const std::uint32_t limit = group.job_->submission_.steps_[group.group_.step_].antiAffinity_;
+    if (limit == 0) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const auto same = [&group](const RunId &run) {
+        return run.task_.job_ == group.job_->submission_.id_ && run.task_.occurrence_ == group.group_.occurrence_ && run.task_.step_ == group.group_.step_;
+    };
+    const auto used = static_cast<std::uint32_t>(std::count_if(executor.runs_.begin(), executor.runs_.end(), same));
+    return used < limit ? limit - used : 0;
+}
+
+void assign(Board &board, const WaitingGroup &group, const Placement &placement)
+{
+    Job &job = *group.job_;
+    const Step &step = job.submission_.steps_[group.group_.step_];
+    release(board, job, group.group_.first_);
+    std::uint32_t gangRun = 0;
+    std::string gangCheckpoint;
+    for (const std::size_t task : group.tasks_) {
+        gangRun = std::max(gangRun, job.progress_.tasks_[task].run_ + 1);
+        gangCheckpoint = std::max(gangCheckpoint, job.progress_.tasks_[task].checkpoint_);
+    }
+    job.touch();
+    job.progress_.begun_ = true;
+    job.progress_.state_ = JobState::Running;
+    for (const auto &[index, place] : placement) {
+        TaskProgress &task = job.progress_.tasks_[index];
+        task.run_ = step.gang_ ? gangRun : task.run_ + 1;
+        task.checkpoint_ = step.gang_ ? gangCheckpoint : task.checkpoint_;
+        task.assigned_ = true;
+        task.place_ = place;
+        Run run;
+        run.id_ = {taskOf(job.submission_, group.group_, index), task.run_};
+        run.place_ = place;
+        run.room_ = step.counted();
+        run.version_ = job.version_;
+        run.startedAt_ = board.now_;
+        run.progressAt_ = board.now_;
+        addRun(board, std::move(run));
+    }
+    const auto waited = std::chrono::duration_cast<milliseconds>(board.now_ - job.acceptedAt_);
+    board.decide("assigned",
+                 {{"job", job.submission_.id_.str()},
+                  {"step", std::to_string(group.group_.step_)},
+                  {"tasks", std::to_string(placement.size())},
+                  {"places", placesOf(placement)},
+                  {"waited_ms", std::to_string(waited.count())},
+                  {"priority", std::to_string(job.priority_)}});
+}
+
+void placeWaiting(Board &board)
+{
+    if (!board.mayOrder()) {
+        return;
+    }
+    for (const WaitingGroup &group : waitingGroups(board)) {
+        Placement placement = findPlacement(board, group);
+        if (!placement.empty()) {
+            assign(board, group, placement);
+        } else if (group.job_->priority_ == 0) {
+            clearRoom(board, group);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/batch/queueing.cpp
@@ -0,0 +1,117 @@
+#include "core/batch/queueing.h"
+
+#include <algorithm>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// After this many times its objective a job earns its caller nothing more.
+constexpr int worthlessAfter = 3;
+
+bool isDue(const Board &board, const Submission &job, std::uint32_t occurrence)
+{
+    return job.repeats_ == 0 || board.calendar_ >= job.firstRun_ + job.interval_ * occurrence;
+}
+
+bool isStepDone(const Job &job, const Group &group)
+{
+    const auto first = job.progress_.tasks_.begin() + static_cast<std::ptrdiff_t>(group.first_);
+    const auto last = first + job.submission_.steps_[group.step_].count_;
+    return std::all_of(first, last, [](const TaskProgress &task) { return task.done_; });
+}
+
+bool mayStart(const Job &job, const Group &group, const std::vector<Group> &groups)
+{
+    const auto &after = job.submission_.steps_[group.step_].after_;
+    const std::size_t base = std::size_t{group.occurrence_} * job.submission_.steps_.size();
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) { return isStepDone(job, groups[base + earlier]); });
+}
+
+std::vector<std::size_t> waitingTasks(const Job &job, const Group &group)
+{
+    const Step &step = job.submission_.steps_[group.step_];
+    std::vector<std::size_t> waiting;
+    for (std::size_t index = group.first_; index < group.first_ + step.count_; ++index) {
+        const TaskProgress &task = job.progress_.tasks_[index];
+        if (!task.done_ && !task.assigned_) {
+            waiting.push_back(index);
+        }
+    }
+    if (step.gang_ && waiting.size() < step.count_) {
+        waiting.clear(); // the former run of some member isn't settled yet
+    }
+    return waiting;
+}
+
+struct Urgency
+{
+    std::int32_t priority_ = 0;
+    bool worthless_ = false;
+    bool late_ = false;
+    Instant latestStart_{};
+    JobId job_;
+
+    friend auto operator<=>(const Urgency &, const Urgency &) = default;
+};
+
+Urgency urgencyOf(const Board &board, const Job &job, const Group &group)
+{
+    const milliseconds chain = remainingChain(job.submission_, 0);
+    const auto objective = std::chrono::duration_cast<Duration>(chain * job.stretch_) + job.targetLatency_;
+    const milliseconds left = remainingChain(job.submission_, group.step_);
+    Urgency urgency;
+    urgency.priority_ = job.priority_;
+    urgency.latestStart_ = job.acceptedAt_ + objective - left;
+    urgency.late_ = urgency.latestStart_ < board.now_;
+    urgency.worthless_ = job.acceptedAt_ + worthlessAfter * objective - left < board.now_;
+    urgency.job_ = job.submission_.id_;
+    return urgency;
+}
+
+}
+
+milliseconds remainingChain(const Submission &job, std::uint32_t step)
+{
+    // Steps only wait for earlier ones, so a walk from the last step back meets each after all that follow it.
+    std::vector<milliseconds> chain(job.steps_.size());
+    for (std::size_t at = job.steps_.size(); at-- > 0;) {
+        chain[at] += job.steps_[at].estimate_;
+        for (const std::uint32_t earlier : job.steps_[at].after_) {
+            chain[earlier] = std::max(chain[earlier], chain[at]);
+        }
+    }
+    if (step == 0) {
+        return *std::max_element(chain.begin(), chain.end());
+    }
+    return chain[step];
+}
+
+std::vector<WaitingGroup> waitingGroups(Board &board)
+{
+    std::vector<std::pair<Urgency, WaitingGroup>> found;
+    for (auto &[id, job] : board.jobs_) {
+        if (isFinal(job.progress_.state_)) {
+            continue;
+        }
+        const std::vector<Group> groups = groupsOf(job.submission_);
+        for (const Group &group : groups) {
+            if (!isDue(board, job.submission_, group.occurrence_)) {
+                break;
+            }
+            std::vector<std::size_t> tasks = waitingTasks(job, group);
+            if (!tasks.empty() && mayStart(job, group, groups)) {
+                found.emplace_back(urgencyOf(board, job, group), WaitingGroup{&job, group, std::move(tasks)});
+            }
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::vector<WaitingGroup> waiting;
+    waiting.reserve(found.size());
+    for (auto &[urgency, group] : found) {
+        waiting.push_back(std::move(group));
+    }
+    return waiting;
+}
+
+}
--- /dev/null
+++ b/src/core/batch/runs.cpp
@@ -0,0 +1,426 @@
+#include "core/batch/runs.h"
+
+#include "core/batch/ledger.h"
+
+#include <algorithm>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// A task that shows no progress for this long stands still. Its percent rises every 0.3 s even when it is slowed threefold.
+constexpr milliseconds standstill{2'500};
+
+/// An executor on which tasks of this many jobs have failed in a row is set aside.
+constexpr std::size_t failedJobsToSetAside = 2;
+constexpr milliseconds asideLength{6'000};
+
+const char *toString(EndKind how)
+{
+    switch (how) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    case EndKind::Alone:
+        break;
+    }
+    return "alone";
+}
+
+void setAside(Board &board, Executor &executor, const char *reason)
+{
+    executor.asideUntil_ = board.now_ + asideLength;
+    board.decide("executor-aside", {{"executor", executor.facts_.life_.executor_.str()}, {"reason", reason}});
+}
+
+/// Keeps the task at \p index off \p executor; forgets all that it shunned when little else would be left.
+void shun(const Board &board, Job &job, std::size_t index, const ExecutorId &executor)
+{
+    auto &avoided = job.avoid_[index];
+    if (2 * (avoided.size() + 1) > board.executors_.size()) {
+        avoided.clear();
+    }
+    avoided.insert(executor);
+}
+
+/// Notes that a task of \p job has failed on \p executor, which may be the executor's fault.
+void noteFailure(Board &board, Executor &executor, const JobId &job)
+{
+    executor.failedJobs_.insert(job);
+    if (executor.failedJobs_.size() >= failedJobsToSetAside) {
+        executor.failedJobs_.clear();
+        setAside(board, executor, "failures");
+    }
+}
+
+void completeIfDone(Board &board, Job &job)
+{
+    const auto &tasks = job.progress_.tasks_;
+    if (!isFinal(job.progress_.state_) && std::all_of(tasks.begin(), tasks.end(), [](const TaskProgress &task) { return task.done_; })) {
+        finishJob(board, job, JobState::Completed, "all-done");
+    }
+}
+
+/// Returns the tasks that share an end: the whole group of a gang, else the task alone.
+std::pair<std::size_t, std::size_t> sharedRange(const Job &job, const RunId &run, std::size_t index)
+{
+    const Step &step = job.submission_.steps_[run.task_.step_];
+    if (!step.gang_) {
+        return {index, index + 1};
+    }
+    const std::size_t first = groupOf(job.submission_, run.task_).first_;
+    return {first, first + step.count_};
+}
+
+void applyDone(Board &board, Job &job, const RunId &run, std::size_t index)
+{
+    const auto [first, last] = sharedRange(job, run, index);
+    for (std::size_t at = first; at < last; ++at) {
+        job.progress_.tasks_[at].done_ = true;
+    }
+    job.touch();
+    completeIfDone(board, job);
+}
+
+void applyFailure(Board &board, Job &job, const RunId &run, std::size_t index)
+{
+    const auto [first, last] = sharedRange(job, run, index);
+    if (job.progress_.tasks_[first].failedRun_ >= run.run_ || job.progress_.tasks_[index].done_) {
+        return;
+    }
+    for (std::size_t at = first; at < last; ++at) {
+        job.progress_.tasks_[at].failedRun_ = run.run_;
+        ++job.progress_.tasks_[at].failures_;
+    }
+    job.touch();
+    const bool bounded = !job.submission_.steps_[run.task_.step_].longRunning_;
+    if (bounded && job.progress_.tasks_[first].failures_ >= job.maxAttempts_) {
+        finishJob(board, job, JobState::Failed, "attempts-used-up");
+    }
+}
+
+/// A gang can't go on without one of its members.
+void stopRestOfGang(Board &board, const RunId &run, const char *reason)
+{
+    const auto job = board.jobs_.find(run.task_.job_);
+    if (job == board.jobs_.end() || !job->second.submission_.steps_[run.task_.step_].gang_) {
+        return;
+    }
+    if (!job->second.progress_.tasks_[*indexOf(job->second.submission_, run.task_)].done_) {
+        stopRun(board, run, reason);
+    }
+}
+
+/// Carries out what \p end means for its job. Precondition: its run is in the ledger.
+void applyEnd(Board &board, Executor &executor, const EndedRun &end)
+{
+    const RunId run = end.run_;
+    const RunPhase phase = board.runs_.at(run).phase_;
+    Job &job = board.jobs_.at(run.task_.job_);
+    const std::size_t index = *indexOf(job.submission_, run.task_);
+    const bool longRunning = job.submission_.steps_[run.task_.step_].longRunning_;
+    if (!end.checkpoint_.empty()) {
+        job.progress_.tasks_[index].checkpoint_ = end.checkpoint_;
+    }
+    board.decide("run-ended", {{"run", toString(run)}, {"how", toString(end.how_)}, {"executor", executor.facts_.life_.executor_.str()}});
+    removeRun(board, run);
+    if (end.how_ == EndKind::Done && !longRunning) {
+        executor.failedJobs_.clear();
+        applyDone(board, job, run, index);
+    } else if (end.how_ == EndKind::Failed) {
+        noteFailure(board, executor, job.submission_.id_);
+        shun(board, job, index, executor.facts_.life_.executor_);
+        applyFailure(board, job, run, index);
+    }
+    if (end.how_ != EndKind::Done && phase != RunPhase::Stopping) {
+        stopRestOfGang(board, run, "member-ended");
+    }
+}
+
+void takeEnds(Board &board, Executor &executor, const std::vector<EndedRun> &ends)
+{
+    for (const EndedRun &end : ends) {
+        const bool seen = end.number_ <= executor.acknowledged_
+            || std::any_of(executor.pendingEnds_.begin(), executor.pendingEnds_.end(), [&end](const PendingEnd &any) { return any.number_ == end.number_; });
+        if (seen) {
+            continue;
+        }
+        const JobId job = end.run_.task_.job_;
+        const auto run = board.runs_.find(end.run_);
+        if (run != board.runs_.end() && run->second.place_ == executor.facts_.life_) {
+            applyEnd(board, executor, end);
+        } else {
+            board.decide("end-without-run", {{"run", toString(end.run_)}, {"how", toString(end.how_)}});
+        }
+        const auto found = board.jobs_.find(job);
+        executor.pendingEnds_.push_back({end.number_, job, found == board.jobs_.end() ? 0 : found->second.version_});
+    }
+}
+
+/// Ends a run that is certain not to be at work, without an end of its own.
+void settleRun(Board &board, const RunId &id, const char *reason)
+{
+    const auto found = board.runs_.find(id);
+    if (found == board.runs_.end()) {
+        return;
+    }
+    const bool stopping = found->second.phase_ == RunPhase::Stopping;
+    board.decide("run-settled", {{"run", toString(id)}, {"reason", reason}, {"executor", found->second.place_.executor_.str()}});
+    removeRun(board, id);
+    if (!stopping) {
+        stopRestOfGang(board, id, "member-settled");
+    }
+}
+
+void noteRunning(Board &board, Executor &executor, const RunningTask &task)
+{
+    const auto found = board.runs_.find(task.run_);
+    if (found == board.runs_.end() || found->second.place_ != executor.facts_.life_) {
+        board.decide("orphan", {{"run", toString(task.run_)}, {"executor", executor.facts_.life_.executor_.str()}});
+        executor.orphans_.push_back(task.run_);
+        return;
+    }
+    Run &run = found->second;
+    run.recovered_ = false;
+    if (run.phase_ == RunPhase::Committing || run.phase_ == RunPhase::Starting) {
+        run.phase_ = RunPhase::Running;
+        run.progressAt_ = board.now_;
+    }
+    if (task.percent_ > run.percent_) {
+        run.percent_ = task.percent_;
+        run.progressAt_ = board.now_;
+    }
+    if (!task.checkpoint_.empty()) {
+        Job &job = board.jobs_.at(task.run_.task_.job_);
+        job.progress_.tasks_[*indexOf(job.submission_, task.run_.task_)].checkpoint_ = task.checkpoint_;
+    }
+}
+
+void takeSettled(Board &board, const Executor &executor, const SettledOrder &order)
+{
+    const auto found = board.runs_.find(order.run_);
+    if (found == board.runs_.end() || found->second.place_ != executor.facts_.life_) {
+        return;
+    }
+    if (order.outcome_ == OrderOutcome::StopConfirmed && found->second.phase_ != RunPhase::Stopping) {
+        return;
+    }
+    if (order.outcome_ == OrderOutcome::Refused) {
+        const auto job = board.jobs_.find(order.run_.task_.job_);
+        shun(board, job->second, *indexOf(job->second.submission_, order.run_.task_), executor.facts_.life_.executor_);
+    }
+    settleRun(board, order.run_, order.outcome_ == OrderOutcome::Refused ? "refused" : "stop-confirmed");
+}
+
+/// Settles runs that the executor would list if they were at work.
+void settleMissing(Board &board, Executor &executor, const Report &report)
+{
+    std::set<RunId> known(report.starting_.begin(), report.starting_.end());
+    for (const RunningTask &task : report.running_) {
+        known.insert(task.run_);
+    }
+    const std::set<RunId> runs = executor.runs_;
+    for (const RunId &id : runs) {
+        const Run &run = board.runs_.at(id);
+        const bool listed = run.phase_ == RunPhase::Running || run.recovered_;
+        if (run.place_ == executor.facts_.life_ && listed && !known.contains(id)) {
+            settleRun(board, id, "missing");
+        }
+    }
+}
+
+/// Settles what ran in earlier lives of the executor, or all if it has left.
+void settleOtherLives(Board &board, Executor &executor)
+{
+    const std::set<RunId> runs = executor.runs_;
+    for (const RunId &id : runs) {
+        if (executor.facts_.left_ || board.runs_.at(id).place_.born_ != executor.facts_.life_.born_) {
+            settleRun(board, id, executor.facts_.left_ ? "executor-left" : "executor-restarted");
+        }
+    }
+}
+
+Executor &executorOf(Board &board, const Report &report)
+{
+    Executor &executor = board.executors_[report.executor_.life_.executor_];
+    if (executor.facts_.life_ != report.executor_.life_) {
+        executor.pendingEnds_.clear();
+        executor.acknowledged_ = 0;
+        executor.failedJobs_.clear();
+        executor.asideUntil_ = Instant();
+        board.decide("executor-seen",
+                     {{"executor", report.executor_.life_.executor_.str()},
+                      {"born", std::to_string(report.executor_.life_.born_)},
+                      {"agent", report.agent_},
+                      {"datacentre", report.executor_.dataCentre_.str()}});
+    }
+    if (executor.facts_.draining_ != report.executor_.draining_) {
+        board.decide("executor-draining",
+                     {{"executor", report.executor_.life_.executor_.str()}, {"remaining_ms", std::to_string(report.executor_.remaining_.count())}});
+    }
+    executor.facts_ = report.executor_;
+    executor.agent_ = report.agent_;
+    executor.reported_ = true;
+    executor.lastReport_ = board.now_;
+    return executor;
+}
+
+/// Returns whether \p report says less than what has been heard of this agent or executor before.
+bool isOutdated(const Board &board, const Report &report)
+{
+    const auto agent = board.agents_.find(report.agent_);
+    if (agent != board.agents_.end() && report.sentAt_ <= agent->second.sentAt_) {
+        return true;
+    }
+    const auto executor = board.executors_.find(report.executor_.life_.executor_);
+    return executor != board.executors_.end() && report.executor_.life_.born_ < executor->second.facts_.life_.born_;
+}
+
+}
+
+void takeReport(Board &board, const Report &report)
+{
+    if (isOutdated(board, report)) {
+        return;
+    }
+    Agent &agent = board.agents_[report.agent_];
+    agent.sequence_ = report.sequence_;
+    agent.sentAt_ = report.sentAt_;
+    agent.executor_ = report.executor_.life_.executor_;
+    agent.directiveDue_ = true;
+    if (agent.executor_.empty()) {
+        return;
+    }
+    Executor &executor = executorOf(board, report);
+    settleOtherLives(board, executor);
+    if (!report.listsValid_ || report.epoch_ != board.epoch_) {
+        return;
+    }
+    executor.orphans_.clear();
+    for (const RunningTask &task : report.running_) {
+        noteRunning(board, executor, task);
+    }
+    takeEnds(board, executor, report.ended_);
+    for (const SettledOrder &order : report.settled_) {
+        takeSettled(board, executor, order);
+    }
+    settleMissing(board, executor, report);
+}
+
+void stopRun(Board &board, const RunId &id, const char *reason)
+{
+    const auto job = board.jobs_.find(id.task_.job_);
+    std::vector<RunId> stopping{id};
+    if (job != board.jobs_.end() && job->second.submission_.steps_[id.task_.step_].gang_) {
+        const Group group = groupOf(job->second.submission_, id.task_);
+        const std::uint32_t count = job->second.submission_.steps_[id.task_.step_].count_;
+        stopping.clear();
+        for (std::size_t index = group.first_; index < group.first_ + count; ++index) {
+            stopping.push_back({taskOf(job->second.submission_, group, index), id.run_});
+        }
+    }
+    for (const RunId &each : stopping) {
+        const auto run = board.runs_.find(each);
+        if (run == board.runs_.end() || run->second.phase_ == RunPhase::Stopping) {
+            continue;
+        }
+        board.decide("run-stop", {{"run", toString(each)}, {"reason", reason}, {"executor", run->second.place_.executor_.str()}});
+        if (run->second.phase_ == RunPhase::Committing) {
+            removeRun(board, each); // no order has left
+            continue;
+        }
+        run->second.phase_ = RunPhase::Stopping;
+        const auto agent = board.agents_.find(board.executors_[run->second.place_.executor_].agent_);
+        if (agent != board.agents_.end()) {
+            agent->second.directiveDue_ = true;
+        }
+    }
+}
+
+void stopJob(Board &board, Job &job, const char *reason)
+{
+    for (const Group &group : groupsOf(job.submission_)) {
+        for (std::size_t index = group.first_; index < group.first_ + job.submission_.steps_[group.step_].count_; ++index) {
+            if (job.progress_.tasks_[index].assigned_) {
+                stopRun(board, {taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_}, reason);
+            }
+        }
+        release(board, job, group.first_);
+    }
+}
+
+void finishJob(Board &board, Job &job, JobState state, const char *reason)
+{
+    if (isFinal(job.progress_.state_)) {
+        return;
+    }
+    job.progress_.state_ = state;
+    job.progress_.endedAt_ = board.calendar_;
+    job.touch();
+    const char *word = state == JobState::Completed ? "completed" : state == JobState::Failed ? "failed" : "cancelled";
+    board.decide("job-ended", {{"job", job.submission_.id_.str()}, {"state", word}, {"reason", reason}});
+    if (state != JobState::Completed) {
+        stopJob(board, job, reason);
+    }
+}
+
+void settleSilent(Board &board)
+{
+    for (auto &[id, executor] : board.executors_) {
+        if (executor.runs_.empty()) {
+            continue;
+        }
+        const auto length = std::chrono::duration_cast<Duration>(permitLength) * 51 / 50 + permitSlack;
+        const Instant lastWord = executor.reported_ ? std::max(executor.lastPermit_, executor.lastReport_) : board.leaderSince_ + permitFreshness;
+        if (board.now_ < lastWord + length) {
+            continue;
+        }
+        const std::set<RunId> runs = executor.runs_;
+        for (const RunId &run : runs) {
+            settleRun(board, run, "lease-over");
+        }
+    }
+}
+
+void moveStuckRuns(Board &board)
+{
+    std::vector<std::pair<RunId, const char *>> stuck;
+    for (const auto &[id, run] : board.runs_) {
+        const auto executor = board.executors_.find(run.place_.executor_);
+        if (run.phase_ != RunPhase::Running || executor == board.executors_.end() || board.now_ - executor->second.lastReport_ > silenceLimit) {
+            continue;
+        }
+        const Job &job = board.jobs_.at(id.task_.job_);
+        const Step &step = job.submission_.steps_[id.task_.step_];
+        if (!step.longRunning_ && !step.fills_ && board.now_ - run.progressAt_ > standstill) {
+            stuck.emplace_back(id, "standstill");
+            continue;
+        }
+        const ExecutorFacts &facts = executor->second.facts_;
+        if (facts.draining_ && !step.longRunning_) {
+            const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
+            const milliseconds left = run.percent_ > 3 ? elapsed * (100 - run.percent_) / run.percent_ : step.estimate_;
+            if (left > facts.remaining_) {
+                stuck.emplace_back(id, "draining");
+            }
+        }
+    }
+    for (const auto &[id, reason] : stuck) {
+        Run &run = board.runs_.at(id);
+        Job &job = board.jobs_.at(id.task_.job_);
+        if (std::string_view(reason) == "standstill") {
+            shun(board, job, *indexOf(job.submission_, id.task_), run.place_.executor_);
+            noteFailure(board, board.executors_.at(run.place_.executor_), job.submission_.id_);
+        }
+        stopRun(board, id, reason);
+    }
+}
+
+}
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -79,6 +80,33 @@
     spdlog::set_default_logger(logger);
 }
 
+void openBoundedLog(LogLevel least)
+{
+    constexpr std::size_t queuedLines = 1'024;
+    spdlog::init_thread_pool(queuedLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto logger = std::make_shared<spdlog::async_logger>("bergamotwick", std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+    logger->set_level(levelOf(least));
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(logger);
+}
+
+std::size_t droppedLogLines()
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
+void logEvent(LogLevel level, std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    std::string line = "event=" + std::string(event);
+    for (const auto &[key, value] : fields) {
+        line += " " + key + "=" + quoted(value);
+    }
+    spdlog::default_logger_raw()->log(levelOf(level), line);
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "event=" + std::string(event);
--- /dev/null
+++ b/src/node/agent_host.cpp
@@ -0,0 +1,264 @@
+#include "node.h"
+
+#include "clock.h"
+#include "control_server.h"
+#include "core/batch/agent.h"
+#include "core/batch/codec.h"
+#include "daemon/log.h"
+#include "executor_client.h"
+#include "keys.h"
+#include "mailbox.h"
+#include "net/socket.h"
+#include "store_client.h"
+
+#include <atomic>
+#include <thread>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace bergamotwick::node {
+
+namespace {
+
+using batch::milliseconds;
+
+constexpr std::size_t maxFrame = std::size_t{4} * 1024 * 1024;
+constexpr milliseconds connectTimeout{400};
+constexpr milliseconds readTimeout{700};
+constexpr milliseconds watchWait{10'000};
+constexpr milliseconds retryPause{200};
+constexpr milliseconds tick{100};
+
+/// How long the executor may wait for an end before it answers; bounds how old the lists get.
+constexpr milliseconds holdWait{500};
+constexpr milliseconds holdPause{200};
+
+/// Calls to the executor that may be under way at once; one that isn't answered must not hold the others up.
+constexpr int orderThreads = 2;
+
+/// The leader answers each report; a connection that is silent for this long is dead.
+constexpr std::chrono::seconds silence{2};
+
+batch::OrderAnswer answerOf(platform::OrderReply reply)
+{
+    switch (reply) {
+    case platform::OrderReply::Accepted:
+        return batch::OrderAnswer::Accepted;
+    case platform::OrderReply::Unknown:
+        return batch::OrderAnswer::Unknown;
+    case platform::OrderReply::Refused:
+    case platform::OrderReply::Fenced:
+    case platform::OrderReply::OtherLife:
+        break;
+    }
+    return batch::OrderAnswer::Refused;
+}
+
+/// Everything that runs beside an executor.
+class AgentHost
+{
+public:
+    explicit AgentHost(const platform::NodeSettings &settings)
+        : settings_(settings)
+        , store_(settings.storeAddress_)
+        , core_(settings.nodeName_, settings.stopLimit_)
+        , control_(settings.controlAddress_, news())
+    {
+    }
+
+    int run()
+    {
+        std::thread([this] { step(); }).detach();
+        std::thread([this] { hold(); }).detach();
+        std::thread([this] { followLeader(); }).detach();
+        for (int thread = 0; thread < orderThreads; ++thread) {
+            std::thread([this] { callExecutor(); }).detach();
+        }
+        std::thread([this] {
+            if (!control_.run()) {
+                logEvent(LogLevel::Error, "cannot-listen", {{"for", "heartbeats"}});
+            }
+        }).detach();
+        waitForStop();
+        return 0;
+    }
+
+private:
+    platform::ExecutorNews news()
+    {
+        return {[this](const platform::Heartbeat &beat) {
+                    inputs_.put(batch::HeartbeatSeen{beat.executor_, beat.sequence_});
+                },
+                [this](const ExecutorId &id) { inputs_.put(batch::ExecutorLeft{id}); },
+                [](const std::string &id) {
+                    logEvent(LogLevel::Warning, "heartbeat-unreadable", {{"executor", id}});
+                }};
+    }
+
+    void step()
+    {
+        for (;;) {
+            auto inputs = inputs_.takeAll(tick);
+            std::vector<batch::AgentOutput> outputs;
+            {
+                const std::lock_guard lock(coreMutex_);
+                outputs = core_.step(bootNow(), std::move(inputs));
+            }
+            for (batch::AgentOutput &output : outputs) {
+                std::visit([this](auto &&any) { carryOut(std::forward<decltype(any)>(any)); }, std::move(output));
+            }
+        }
+    }
+
+    void carryOut(batch::CallStart &&call)
+    {
+        calls_.put(std::move(call));
+    }
+
+    void carryOut(batch::CallStop &&call)
+    {
+        calls_.put(std::move(call));
+    }
+
+    void carryOut(batch::Report &&report)
+    {
+        std::shared_ptr<Socket> leader;
+        {
+            const std::lock_guard lock(leaderMutex_);
+            leader = leader_;
+        }
+        if (leader && writeFrame(*leader, batch::encode(report)) != FrameWrite::Whole) {
+            leader->shutdown();
+        }
+    }
+
+    static void carryOut(batch::AgentLog &&line)
+    {
+        logEvent(LogLevel::Info, line.event_, line.fields_);
+    }
+
+    void hold()
+    {
+        platform::ExecutorClient client(settings_.executorAddress_);
+        for (;;) {
+            const Instant sent = bootNow();
+            batch::HoldCall call;
+            {
+                const std::lock_guard lock(coreMutex_);
+                call = core_.nextHold(sent);
+            }
+            leaf::try_handle_all(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_AUTO(result, client.hold(call.epoch_, call.acknowledged_, call.leaseEnd_, holdWait));
+                    const bool ended = !result.ended_.empty();
+                    inputs_.put(batch::HoldAnswered{sent, call.epoch_, result.born_, result.clock_, std::move(result.running_), std::move(result.ended_)});
+                    if (ended) {
+                        std::this_thread::sleep_for(holdPause / 4); // until the leader has acknowledged them, the call doesn't wait
+                    }
+                    return {};
+                },
+                [&](const platform::HoldError &error) {
+                    inputs_.put(batch::HoldFailed{error.code_ == platform::HoldErrc::NobodyListens});
+                    std::this_thread::sleep_for(holdPause);
+                },
+                [] { std::this_thread::sleep_for(holdPause); });
+        }
+    }
+
+    void callExecutor()
+    {
+        platform::ExecutorClient client(settings_.executorAddress_);
+        for (;;) {
+            for (auto call = calls_.takeOne(); call; call = calls_.takeOne()) {
+                if (const auto *start = std::get_if<batch::CallStart>(&*call)) {
+                    const auto result = client.start(start->life_, start->order_, start->leaseEnd_, start->epoch_);
+                    inputs_.put(batch::StartAnswered{start->order_.run_, answerOf(result.reply_), result.reason_});
+                } else if (const auto *stop = std::get_if<batch::CallStop>(&*call)) {
+                    const auto result = client.stop(stop->life_, stop->run_, stop->epoch_);
+                    inputs_.put(batch::StopAnswered{stop->run_, answerOf(result.reply_)});
+                }
+            }
+        }
+    }
+
+    /// Finds the leader by its key, and reads its directives until the connection ends.
+    void followLeader()
+    {
+        for (;;) {
+            const auto address = leaf::try_handle_all(
+                [&]() -> Result<std::optional<Address>> {
+                    BOOST_LEAF_AUTO(item, store_.get(keys::leader, readTimeout));
+                    return item ? Address::parse(item->value_) : std::nullopt;
+                },
+                [](const StoreError &error) -> std::optional<Address> {
+                    logEvent(LogLevel::Warning, "leader-key-unread", {{"error", toString(error.code_)}});
+                    return std::nullopt;
+                },
+                []() -> std::optional<Address> { return std::nullopt; });
+            if (address) {
+                leaf::try_handle_all([&]() -> Result<void> { return talkTo(*address); },
+                                     [&](const SocketError &error) {
+                                         logEvent(LogLevel::Warning, "leader-unreachable", {{"address", address->str()}, {"errno", error.errno_}});
+                                     },
+                                     [] {});
+            }
+            std::this_thread::sleep_for(retryPause);
+        }
+    }
+
+    Result<void> talkTo(const Address &address)
+    {
+        BOOST_LEAF_AUTO(connection, connectTcp(address, connectTimeout));
+        const auto socket = std::make_shared<Socket>(std::move(connection));
+        const timeval wait{silence.count(), 0};
+        ::setsockopt(socket->descriptor(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+        const timeval send{0, 200'000};
+        ::setsockopt(socket->descriptor(), SOL_SOCKET, SO_SNDTIMEO, &send, sizeof(send));
+        logEvent(LogLevel::Info, "leader-connected", {{"address", address.str()}});
+        {
+            const std::lock_guard lock(leaderMutex_);
+            leader_ = socket;
+        }
+        inputs_.wake();
+        for (auto frame = readFrame(*socket, maxFrame); frame; frame = readFrame(*socket, maxFrame)) {
+            leaf::try_handle_all(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_AUTO(directive, batch::decodeDirective(*frame));
+                    inputs_.put(std::move(directive));
+                    return {};
+                },
+                [](const WireError &error) {
+                    logEvent(LogLevel::Warning, "directive-unreadable", {{"error", toString(error.code_)}});
+                },
+                [] {});
+        }
+        logEvent(LogLevel::Info, "leader-disconnected", {{"address", address.str()}});
+        const std::lock_guard lock(leaderMutex_);
+        leader_ = nullptr;
+        return {};
+    }
+
+    platform::NodeSettings settings_;
+    platform::StoreClient store_;
+    std::mutex coreMutex_;
+    batch::AgentCore core_;
+    platform::ControlServer control_;
+    Mailbox<batch::AgentInput> inputs_;
+    Mailbox<std::variant<batch::CallStart, batch::CallStop>> calls_;
+    std::mutex leaderMutex_;
+    std::shared_ptr<Socket> leader_;
+};
+
+}
+
+int runAgent(const platform::NodeSettings &settings)
+{
+    AgentHost host(settings);
+    const int code = host.run();
+    logEvent(LogLevel::Info, "stopped", {});
+    std::fflush(stdout);
+    std::_Exit(code);
+}
+
+}
--- /dev/null
+++ b/src/node/election.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/batch/time.h"
+#include "store_client.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+namespace bergamotwick::node {
+
+/// Competes for the leader's key and keeps it alive.
+///
+/// Thread safety: stop() may be called from any thread; run() belongs to one.
+class Election
+{
+public:
+    struct Events
+    {
+        std::function<void(std::int64_t epoch, Instant since)> won_;
+        std::function<void(Instant seen)> renewed_; ///< with the time at which the renewal was sent
+        std::function<void(const char *reason)> lost_; ///< returns when nothing more is written under the key
+    };
+
+    /// \p address is what agents connect to.
+    Election(platform::StoreClient &store, std::string address, batch::milliseconds ttl, Events events);
+
+    /// Competes until stop(); gives the key up before it returns.
+    void run();
+    void stop() noexcept;
+
+private:
+    [[nodiscard]] bool waitForVacancy();
+    void compete();
+    void lead(std::int64_t lease, std::int64_t epoch, Instant since);
+
+    platform::StoreClient &store_;
+    std::string address_;
+    batch::milliseconds ttl_;
+    Events events_;
+    std::atomic<bool> stopping_{false};
+};
+
+}
--- /dev/null
+++ b/src/node/entry.cpp
@@ -0,0 +1,146 @@
+#include "node.h"
+
+#include "agent_link.h"
+#include "callers_server.h"
+#include "clock.h"
+#include "config_replica.h"
+#include "daemon/log.h"
+#include "election.h"
+#include "job_service.h"
+#include "leader_host.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace bergamotwick::node {
+
+namespace {
+
+using batch::milliseconds;
+
+/// The store's shortest lease is lengthened by this, so that one lost renewal doesn't end it.
+constexpr milliseconds leaseMargin{500};
+
+/// A view of the operators' keys may be this share of the revocation limit old; the rest covers calls under way.
+constexpr int keyLimitPercent = 70;
+
+/// After SIGTERM the balancer needs two missed questions, a second apart, to send connections elsewhere.
+constexpr milliseconds balancerLag{2'300};
+
+batch::LeaderLimits limitsOf(const platform::NodeSettings &settings)
+{
+    batch::LeaderLimits limits;
+    limits.leaseTtl_ = settings.minLeaseTtl_ + leaseMargin;
+    limits.stopLimit_ = settings.stopLimit_;
+    limits.gangTimeout_ = settings.gangTimeout_;
+    limits.statusKept_ = settings.statusKept_;
+    limits.spreadFactor_ = settings.spreadFactor_;
+    return limits;
+}
+
+/// Everything that an entry runs.
+class Entry
+{
+public:
+    explicit Entry(const platform::NodeSettings &settings)
+        : settings_(settings)
+        , store_(settings.storeAddress_)
+        , config_(store_, [this] { configChanged(); })
+        , listener_(agentAddress(settings), [this](batch::Report report) { leader_.input(std::move(report)); })
+        , leader_(
+              store_, limitsOf(settings), config_, [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
+        , election_(store_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
+        , service_(store_, config_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
+        , callers_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
+        , readiness_(settings.readinessAddress_, [this] { return !stopping_ && service_.ready(); })
+    {
+    }
+
+    int run()
+    {
+        const bool listening = leaf::try_handle_all(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(listener_.start());
+                return true;
+            },
+            [](const SocketError &error) {
+                logEvent(LogLevel::Error, "cannot-listen", {{"errno", error.errno_}});
+                return false;
+            },
+            [] { return false; });
+        if (!listening) {
+            return 1;
+        }
+        std::thread([this] { config_.run(); }).detach();
+        std::thread election([this] { election_.run(); });
+        std::thread callers([this] { serve(callers_.run(), "callers"); });
+        std::thread readiness([this] { serve(readiness_.run(), "readiness"); });
+        waitForStop();
+        stopping_ = true;
+        election_.stop();
+        std::this_thread::sleep_for(balancerLag);
+        callers_.stop();
+        callers.join();
+        readiness_.stop();
+        readiness.join();
+        logEvent(LogLevel::Info, "stopped", {});
+        election.detach(); // it may wait for the store for longer than the grace period
+        return 0;
+    }
+
+private:
+    static Address agentAddress(const platform::NodeSettings &settings)
+    {
+        return Address::parse(settings.ip_ + ":" + std::to_string(settings.firstInternalPort_)).value_or(Address());
+    }
+
+    Election::Events electionEvents()
+    {
+        return {[this](std::int64_t epoch, Instant since) {
+                    leader_.start(epoch, since);
+                    listener_.welcome(true);
+                },
+                [this](Instant seen) { leader_.input(batch::StoreSeen{seen}); },
+                [this](const char *) {
+                    leader_.stop();
+                    listener_.welcome(false);
+                }};
+    }
+
+    void configChanged()
+    {
+        const auto view = config_.view();
+        leader_.input(batch::ConfigChanged{view->config_});
+        leader_.input(batch::EvacuationsChanged{view->evacuated_});
+    }
+
+    static void serve(bool served, const char *what)
+    {
+        if (!served) {
+            logEvent(LogLevel::Error, "cannot-listen", {{"for", what}});
+        }
+    }
+
+    platform::NodeSettings settings_;
+    platform::StoreClient store_;
+    ConfigReplica config_;
+    AgentListener listener_;
+    LeaderHost leader_;
+    Election election_;
+    JobService service_;
+    platform::CallersServer callers_;
+    platform::ReadinessServer readiness_;
+    std::atomic<bool> stopping_{false};
+};
+
+}
+
+int runEntry(const platform::NodeSettings &settings)
+{
+    Entry entry(settings);
+    const int code = entry.run();
+    std::fflush(stdout);
+    std::_Exit(code); // threads that wait for the store are left where they are
+}
+
+}
--- /dev/null
+++ b/src/node/job_service.cpp
@@ -0,0 +1,256 @@
+#include "job_service.h"
+
+#include "clock.h"
+#include "core/batch/codec.h"
+#include "daemon/log.h"
+#include "job_codec.h"
+#include "keys.h"
+
+#include <thread>
+
+namespace bergamotwick::node {
+
+namespace {
+
+using batch::milliseconds;
+using platform::Answer;
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusGone = 410;
+constexpr int statusTooLarge = 413;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+/// How long a caller waits if it doesn't say.
+constexpr milliseconds usualPatience{3'000};
+
+/// The answer leaves this long before the caller's deadline, to arrive in time.
+constexpr milliseconds answerMargin{150};
+constexpr milliseconds callTimeout{800};
+constexpr milliseconds retryPause{80};
+constexpr std::chrono::seconds retryLater{1};
+
+Answer refusal(int status)
+{
+    return {status, "{}", status == statusUnavailable ? retryLater : std::chrono::seconds(0)};
+}
+
+}
+
+/// A call whose queue and caller are known.
+struct JobService::Request
+{
+    const batch::Queue *queue_ = nullptr;
+    WorkspaceId workspace_;
+    std::string id_; ///< empty for a call about the queue
+    Instant deadline_{};
+
+    [[nodiscard]] milliseconds left() const
+    {
+        return std::chrono::duration_cast<milliseconds>(deadline_ - bootNow());
+    }
+
+    [[nodiscard]] milliseconds timeout() const
+    {
+        return std::clamp(left(), milliseconds(1), callTimeout);
+    }
+};
+
+JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Duration keyLimit)
+    : store_(store)
+    , config_(config)
+    , keyLimit_(keyLimit)
+{
+}
+
+bool JobService::ready() const
+{
+    return config_.age() < keyLimit_;
+}
+
+Answer JobService::answer(const platform::Call &call)
+{
+    const auto view = config_.view();
+    if (!view || config_.age() >= keyLimit_) {
+        return refusal(statusUnavailable);
+    }
+    const batch::ClusterConfig &config = view->config_;
+    Request request;
+    request.queue_ = config.route(call.host_, call.path_);
+    if (request.queue_ == nullptr) {
+        return refusal(statusNotFound);
+    }
+    const batch::Workspace *workspace = config.workspaceOfKey(call.key_);
+    if (workspace == nullptr && !request.queue_->open_) {
+        return refusal(statusUnauthorized);
+    }
+    if (workspace != nullptr) {
+        request.workspace_ = workspace->name_;
+    }
+    request.id_ = call.path_.substr(request.queue_->prefix_.size());
+    const milliseconds patience = call.patience_.count() > 0 ? call.patience_ : usualPatience;
+    request.deadline_ = bootNow() + patience - answerMargin;
+    if (request.id_.empty() && call.method_ == platform::CallMethod::Read) {
+        return pending(request);
+    }
+    if (!platform::isJobId(request.id_)) {
+        return refusal(call.method_ == platform::CallMethod::Submit ? statusBadRequest : statusGone);
+    }
+    switch (call.method_) {
+    case platform::CallMethod::Submit:
+        return config.maxBodyBytes_ > 0 && call.body_.size() > config.maxBodyBytes_ ? refusal(statusTooLarge) : submit(request, call.body_);
+    case platform::CallMethod::Cancel:
+        return cancel(request);
+    case platform::CallMethod::Read:
+        break;
+    }
+    return state(request);
+}
+
+Answer JobService::submit(const Request &request, const std::string &body)
+{
+    batch::Submission submission;
+    const bool readable = leaf::try_handle_all(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_ASSIGN(submission, platform::decodeJob(body));
+            return true;
+        },
+        [&](const DocumentError &error) {
+            logEvent(LogLevel::Info, "job-malformed", {{"job", request.id_}, {"field", error.field_}});
+            return false;
+        },
+        [] { return false; });
+    if (!readable) {
+        return refusal(statusBadRequest);
+    }
+    submission.id_ = JobId(request.id_);
+    submission.queue_ = request.queue_->key();
+    submission.workspace_ = request.workspace_;
+    submission.service_ = request.queue_->service_;
+    submission.acceptedAt_ = calendarNow();
+    platform::Transaction transaction;
+    const std::string key = keys::jobs + request.id_;
+    transaction.expected_ = {{key, 0}};
+    transaction.puts_ = {{key, batch::encode(submission), 0}};
+    bool mayBeStored = false;
+    do {
+        const int status = leaf::try_handle_all(
+            [&]() -> Result<int> {
+                BOOST_LEAF_AUTO(result, store_.apply(transaction, request.timeout()));
+                logEvent(LogLevel::Info,
+                         "job-stored",
+                         {{"job", request.id_}, {"queue", request.queue_->name_}, {"new", result.applied_}, {"revision", result.revision_}});
+                return statusOk;
+            },
+            [&](const StoreError &error) {
+                mayBeStored = mayBeStored || error.code_ == StoreErrc::Ambiguous || error.code_ == StoreErrc::BadReply;
+                logEvent(LogLevel::Warning, "job-not-stored", {{"job", request.id_}, {"error", toString(error.code_)}, {"may_be_stored", mayBeStored}});
+                return mayBeStored ? 0 : statusUnavailable;
+            },
+            [] { return 0; });
+        if (status != 0) {
+            return refusal(status);
+        }
+        std::this_thread::sleep_for(retryPause);
+    } while (request.left().count() > 0);
+    return refusal(statusTimeout);
+}
+
+Answer JobService::cancel(const Request &request)
+{
+    const std::string job = keys::jobs + request.id_;
+    do {
+        const int status = leaf::try_handle_all(
+            [&]() -> Result<int> {
+                BOOST_LEAF_AUTO(found, store_.get(job, request.timeout()));
+                if (!found) {
+                    return statusGone;
+                }
+                platform::Transaction transaction;
+                transaction.expected_ = {{job, found->revision_}};
+                transaction.puts_ = {{keys::cancels + request.id_, "", 0}};
+                BOOST_LEAF_AUTO(result, store_.apply(transaction, request.timeout()));
+                logEvent(LogLevel::Info, "cancel-stored", {{"job", request.id_}, {"applied", result.applied_}});
+                return result.applied_ ? statusOk : 0;
+            },
+            [&](const StoreError &error) {
+                logEvent(LogLevel::Warning, "cancel-not-stored", {{"job", request.id_}, {"error", toString(error.code_)}});
+                return 0;
+            },
+            [] { return 0; });
+        if (status != 0) {
+            return refusal(status);
+        }
+        std::this_thread::sleep_for(retryPause);
+    } while (request.left().count() > 0);
+    return refusal(statusTimeout);
+}
+
+Answer JobService::state(const Request &request)
+{
+    do {
+        Answer answer = leaf::try_handle_all(
+            [&]() -> Result<Answer> {
+                BOOST_LEAF_AUTO(record, store_.get(keys::progress + request.id_, request.timeout()));
+                if (record) {
+                    BOOST_LEAF_AUTO(progress, batch::decodeProgress(record->value_));
+                    return Answer{statusOk, platform::encodeState(progress.state_)};
+                }
+                BOOST_LEAF_AUTO(job, store_.get(keys::jobs + request.id_, request.timeout()));
+                return job ? Answer{statusOk, platform::encodeState(batch::JobState::Queued)} : refusal(statusGone);
+            },
+            [&](const StoreError &error) {
+                logEvent(LogLevel::Warning, "state-unread", {{"job", request.id_}, {"error", toString(error.code_)}});
+                return Answer();
+            },
+            [&](const WireError &error) {
+                logEvent(LogLevel::Error, "progress-unreadable", {{"job", request.id_}, {"error", toString(error.code_)}});
+                return refusal(statusUnavailable);
+            },
+            [] { return refusal(statusUnavailable); });
+        if (answer.status_ != 0) {
+            return answer;
+        }
+        std::this_thread::sleep_for(retryPause);
+    } while (request.left().count() > 0);
+    return refusal(statusUnavailable);
+}
+
+Answer JobService::pending(const Request &request)
+{
+    const std::string queue = request.queue_->key();
+    return leaf::try_handle_all(
+        [&]() -> Result<Answer> {
+            BOOST_LEAF_AUTO(inbox, store_.range(keys::inbox, request.timeout()));
+            BOOST_LEAF_AUTO(records, store_.range(keys::progress, request.timeout()));
+            std::set<std::string> waiting;
+            for (const platform::Item &item : inbox.items_) {
+                if (!item.key_.starts_with(keys::jobs)) {
+                    continue;
+                }
+                BOOST_LEAF_AUTO(submission, batch::decodeSubmission(item.value_));
+                if (submission.queue_ == queue) {
+                    waiting.insert(submission.id_.str());
+                }
+            }
+            for (const platform::Item &item : inbox.items_) {
+                if (item.key_.starts_with(keys::cancels)) {
+                    waiting.erase(item.key_.substr(keys::cancels.size()));
+                }
+            }
+            for (const platform::Item &item : records.items_) {
+                waiting.erase(item.key_.substr(keys::progress.size()));
+            }
+            return Answer{statusOk, platform::encodePending(waiting.size())};
+        },
+        [](const StoreError &error) {
+            logEvent(LogLevel::Warning, "pending-unread", {{"error", toString(error.code_)}});
+            return refusal(statusUnavailable);
+        },
+        [] { return refusal(statusUnavailable); });
+}
+
+}
--- /dev/null
+++ b/src/node/job_service.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "callers_server.h"
+#include "config_replica.h"
+#include "core/batch/job.h"
+#include "store_client.h"
+
+#include <map>
+#include <mutex>
+
+namespace bergamotwick::node {
+
+/// Answers callers: takes jobs in, cancels them, tells their state. Everything it knows lies in the store.
+///
+/// Thread safety: answer() may be called from several threads at once.
+class JobService
+{
+public:
+    /// A configuration older than \p keyLimit must not admit anybody: a key may have been taken away since.
+    JobService(platform::StoreClient &store, const ConfigReplica &config, Duration keyLimit);
+
+    [[nodiscard]] platform::Answer answer(const platform::Call &call);
+
+    /// Returns whether calls can be served now.
+    [[nodiscard]] bool ready() const;
+
+private:
+    struct Request;
+
+    [[nodiscard]] platform::Answer submit(const Request &request, const std::string &body);
+    [[nodiscard]] platform::Answer cancel(const Request &request);
+    [[nodiscard]] platform::Answer state(const Request &request);
+    [[nodiscard]] platform::Answer pending(const Request &request);
+
+    platform::StoreClient &store_;
+    const ConfigReplica &config_;
+    Duration keyLimit_;
+};
+
+}
--- /dev/null
+++ b/src/node/leader_host.cpp
@@ -0,0 +1,322 @@
+#include "leader_host.h"
+
+#include "clock.h"
+#include "core/batch/codec.h"
+#include "daemon/log.h"
+#include "keys.h"
+
+namespace bergamotwick::node {
+
+namespace {
+
+using batch::milliseconds;
+
+constexpr milliseconds readTimeout{1'500};
+constexpr milliseconds commitTimeout{1'500};
+constexpr milliseconds watchWait{5'000};
+constexpr milliseconds retryPause{150};
+
+/// Time passes for the scheduler at least this often.
+constexpr milliseconds tick{100};
+
+/// How long a leader that stops waits for its last writes.
+constexpr milliseconds lastWrites{600};
+
+std::string jobOf(const std::string &key, const std::string &prefix)
+{
+    return key.substr(prefix.size());
+}
+
+/// Turns a key of the inbox into an input; nothing for the leader's own key and for what can't be read.
+std::optional<batch::LeaderInput> inputOf(const platform::Item &item)
+{
+    if (item.removed_) {
+        return std::nullopt;
+    }
+    if (item.key_.starts_with(keys::cancels)) {
+        return batch::CancelStored{JobId(jobOf(item.key_, keys::cancels))};
+    }
+    if (!item.key_.starts_with(keys::jobs)) {
+        return std::nullopt;
+    }
+    return leaf::try_handle_all(
+        [&]() -> Result<std::optional<batch::LeaderInput>> {
+            BOOST_LEAF_AUTO(submission, batch::decodeSubmission(item.value_));
+            return std::optional<batch::LeaderInput>(batch::JobStored{std::move(submission)});
+        },
+        [&](const WireError &error) -> std::optional<batch::LeaderInput> {
+            logEvent(LogLevel::Error, "job-unreadable", {{"key", item.key_}, {"error", toString(error.code_)}});
+            return std::nullopt;
+        },
+        []() -> std::optional<batch::LeaderInput> { return std::nullopt; });
+}
+
+std::optional<batch::LeaderInput> progressOf(const platform::Item &item)
+{
+    return leaf::try_handle_all(
+        [&]() -> Result<std::optional<batch::LeaderInput>> {
+            BOOST_LEAF_AUTO(progress, batch::decodeProgress(item.value_));
+            return std::optional<batch::LeaderInput>(batch::ProgressStored{std::move(progress), item.revision_});
+        },
+        [&](const WireError &error) -> std::optional<batch::LeaderInput> {
+            logEvent(LogLevel::Error, "progress-unreadable", {{"key", item.key_}, {"error", toString(error.code_)}});
+            return std::nullopt;
+        },
+        []() -> std::optional<batch::LeaderInput> { return std::nullopt; });
+}
+
+}
+
+/// One stretch of leading.
+struct LeaderHost::Term
+{
+    Term(LeaderHost &host, std::int64_t epoch, Instant since)
+        : host_(host)
+        , epoch_(epoch)
+        , leader_(host.limits_, epoch, since)
+    {
+    }
+
+    void begin()
+    {
+        threads_.emplace_back([this] { run(); });
+        threads_.emplace_back([this] { writeCommits(); });
+    }
+
+    /// Precondition: called once, from a thread that isn't the term's.
+    void end()
+    {
+        const Instant until = bootNow() + lastWrites;
+        finishing_ = true;
+        while (!idle_ && bootNow() < until) {
+            std::this_thread::sleep_for(10ms);
+        }
+        stopping_ = true;
+        inputs_.wake();
+        commits_.wake();
+        for (std::thread &thread : threads_) {
+            thread.join();
+        }
+    }
+
+    /// Reads what the store holds. Jobs come before their progress, and cancellations last.
+    [[nodiscard]] bool load()
+    {
+        return leaf::try_handle_all(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_AUTO(inbox, host_.store_.range(keys::inbox, readTimeout));
+                BOOST_LEAF_AUTO(progress, host_.store_.range(keys::progress, readTimeout));
+                std::vector<batch::LeaderInput> inputs;
+                addInputs(inputs, inbox.items_, keys::jobs);
+                for (const platform::Item &item : progress.items_) {
+                    if (auto input = progressOf(item)) {
+                        inputs.push_back(std::move(*input));
+                    }
+                }
+                addInputs(inputs, inbox.items_, keys::cancels);
+                logEvent(LogLevel::Info, "leader-loaded", {{"epoch", epoch_}, {"keys", inbox.items_.size()}, {"records", progress.items_.size()}});
+                revision_ = inbox.atRevision_;
+                loaded_ = std::move(inputs);
+                return true;
+            },
+            [](const StoreError &error) {
+                logEvent(LogLevel::Warning, "leader-load-failed", {{"error", toString(error.code_)}});
+                return false;
+            },
+            [] { return false; });
+    }
+
+    static void addInputs(std::vector<batch::LeaderInput> &inputs, const std::vector<platform::Item> &items, const std::string &prefix)
+    {
+        for (const platform::Item &item : items) {
+            if (!item.key_.starts_with(prefix)) {
+                continue;
+            }
+            if (auto input = inputOf(item)) {
+                inputs.push_back(std::move(*input));
+            }
+        }
+    }
+
+    void run()
+    {
+        while (!stopping_ && !load()) {
+            std::this_thread::sleep_for(retryPause);
+        }
+        if (stopping_) {
+            return;
+        }
+        std::thread watcher([this] { watchInbox(); });
+        if (const auto view = host_.config_.view()) {
+            loaded_.insert(loaded_.begin(), batch::ConfigChanged{view->config_});
+            loaded_.emplace_back(batch::EvacuationsChanged{view->evacuated_});
+        }
+        carryOut(leader_.step(bootNow(), calendarNow(), std::exchange(loaded_, {})));
+        while (!stopping_) {
+            auto inputs = inputs_.takeAll(tick);
+            carryOut(leader_.step(bootNow(), calendarNow(), std::move(inputs)));
+            idle_ = finishing_ && leader_.settled();
+        }
+        watcher.join();
+    }
+
+    void watchInbox()
+    {
+        while (!stopping_) {
+            leaf::try_handle_all(
+                [&]() -> Result<void> {
+                    if (revision_ == 0) {
+                        BOOST_LEAF_AUTO(range, host_.store_.range(keys::inbox, readTimeout));
+                        take(range.items_);
+                        revision_ = range.atRevision_;
+                    }
+                    BOOST_LEAF_AUTO(changes, host_.store_.watch(keys::inbox, revision_, watchWait));
+                    take(changes.events_);
+                    revision_ = changes.historyLost_ ? 0 : std::max(revision_, changes.atRevision_);
+                    return {};
+                },
+                [](const StoreError &error) {
+                    logEvent(LogLevel::Warning, "inbox-watch-failed", {{"error", toString(error.code_)}});
+                    std::this_thread::sleep_for(retryPause);
+                },
+                [] {});
+        }
+    }
+
+    void take(const std::vector<platform::Item> &items)
+    {
+        for (const platform::Item &item : items) {
+            if (auto input = inputOf(item)) {
+                inputs_.put(std::move(*input));
+            }
+        }
+    }
+
+    void carryOut(std::vector<batch::LeaderOutput> outputs)
+    {
+        for (batch::LeaderOutput &output : outputs) {
+            if (auto *commit = std::get_if<batch::Commit>(&output)) {
+                commits_.put(std::move(*commit));
+            } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
+                host_.send_(directive->agent_, directive->directive_);
+            } else if (const auto *decision = std::get_if<batch::Decision>(&output)) {
+                logEvent(LogLevel::Info, decision->event_, decision->fields_);
+            }
+        }
+    }
+
+    void writeCommits()
+    {
+        while (!stopping_) {
+            for (const batch::Commit &commit : commits_.takeAll(tick * 10)) {
+                write(commit);
+            }
+        }
+    }
+
+    [[nodiscard]] platform::Transaction transactionOf(const batch::Commit &commit) const
+    {
+        platform::Transaction transaction;
+        transaction.expected_.push_back({keys::leader, epoch_});
+        for (const batch::ProgressWrite &write : commit.writes_) {
+            const std::string key = keys::progress + write.job_.str();
+            transaction.expected_.push_back({key, write.expected_});
+            if (write.remove_) {
+                transaction.removals_.insert(transaction.removals_.end(), {key, keys::jobs + write.job_.str(), keys::cancels + write.job_.str()});
+            } else {
+                transaction.puts_.push_back({key, batch::encode(write.progress_), 0});
+            }
+        }
+        return transaction;
+    }
+
+    void write(const batch::Commit &commit)
+    {
+        batch::LeaderInput answer = leaf::try_handle_all(
+            [&]() -> Result<batch::LeaderInput> {
+                BOOST_LEAF_AUTO(result, host_.store_.apply(transactionOf(commit), commitTimeout));
+                if (result.applied_) {
+                    return batch::LeaderInput(batch::CommitDone{commit.commit_, result.revision_});
+                }
+                return batch::LeaderInput(rejected(commit, result.current_));
+            },
+            [&](const StoreError &error) {
+                logEvent(LogLevel::Warning, "commit-failed", {{"commit", commit.commit_}, {"error", toString(error.code_)}});
+                return batch::LeaderInput(batch::CommitFailed{commit.commit_, {}});
+            },
+            [&] {
+                return batch::LeaderInput(batch::CommitFailed{commit.commit_, {}});
+            });
+        inputs_.put(std::move(answer));
+    }
+
+    [[nodiscard]] static batch::CommitFailed rejected(const batch::Commit &commit, const std::vector<platform::Item> &current)
+    {
+        batch::CommitFailed failed{commit.commit_, {}};
+        for (const platform::Item &item : current) {
+            if (item.key_.starts_with(keys::progress)) {
+                failed.found_.emplace_back(JobId(jobOf(item.key_, keys::progress)), item.revision_);
+            }
+        }
+        logEvent(LogLevel::Info, "commit-rejected", {{"commit", commit.commit_}, {"found", current.size()}});
+        return failed;
+    }
+
+    LeaderHost &host_;
+    std::int64_t epoch_;
+    batch::Leader leader_;
+    std::vector<batch::LeaderInput> loaded_;
+    std::int64_t revision_ = 0;
+    Mailbox<batch::LeaderInput> inputs_;
+    Mailbox<batch::Commit> commits_;
+    std::atomic<bool> finishing_{false};
+    std::atomic<bool> idle_{false};
+    std::atomic<bool> stopping_{false};
+    std::vector<std::thread> threads_;
+};
+
+LeaderHost::LeaderHost(platform::StoreClient &store, batch::LeaderLimits limits, const ConfigReplica &config, Send send)
+    : store_(store)
+    , limits_(limits)
+    , config_(config)
+    , send_(std::move(send))
+{
+}
+
+LeaderHost::~LeaderHost() = default;
+
+void LeaderHost::start(std::int64_t epoch, Instant since)
+{
+    auto term = std::make_shared<Term>(*this, epoch, since);
+    {
+        const std::lock_guard lock(mutex_);
+        term_ = term;
+    }
+    term->begin();
+}
+
+void LeaderHost::stop()
+{
+    std::shared_ptr<Term> term;
+    {
+        const std::lock_guard lock(mutex_);
+        term = std::exchange(term_, nullptr);
+    }
+    if (term) {
+        term->end();
+    }
+}
+
+void LeaderHost::input(batch::LeaderInput input)
+{
+    std::shared_ptr<Term> term;
+    {
+        const std::lock_guard lock(mutex_);
+        term = term_;
+    }
+    if (term) {
+        term->inputs_.put(std::move(input));
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/mailbox.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "bergamotwick/time.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bergamotwick::node {
+
+/// Hands values from many threads to one.
+///
+/// Thread safety: all methods may be called from several threads at once.
+template<class Value>
+class Mailbox
+{
+public:
+    void put(Value value)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            values_.push_back(std::move(value));
+        }
+        filled_.notify_one();
+    }
+
+    /// Waits up to \p wait for values, and takes all of them.
+    [[nodiscard]] std::vector<Value> takeAll(Duration wait)
+    {
+        std::unique_lock lock(mutex_);
+        filled_.wait_for(lock, wait, [this] { return !values_.empty() || woken_; });
+        woken_ = false;
+        return std::exchange(values_, {});
+    }
+
+    /// Waits for a value and takes the oldest one; several threads may share the work.
+    [[nodiscard]] std::optional<Value> takeOne()
+    {
+        std::unique_lock lock(mutex_);
+        filled_.wait(lock, [this] { return !values_.empty(); });
+        Value value = std::move(values_.front());
+        values_.erase(values_.begin());
+        return value;
+    }
+
+    /// Makes a waiting takeAll() return.
+    void wake()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            woken_ = true;
+        }
+        filled_.notify_all();
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable filled_;
+    std::vector<Value> values_;
+    bool woken_ = false;
+};
+
+}
