Let agents leave a replaced leader, and settle what ran on a host's former executor

After a power cut the executor of a host comes back under another id, so its former runs waited for the end of their leases (11 s). Ruled out: slow election (35 ms after the lapse), slow loading (20 ms). Now every process follows the members' keys; entries that don't lead send agents on; a leader that cannot reach the store for 3 s gives up; nothing is settled by silence while the key may have lapsed; places carry the host.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -186,7 +186,8 @@
 
 void AgentCore::take(const HeartbeatSeen &beat)
 {
-    const Incarnation &life = beat.executor_.life_;
+    Incarnation life = beat.executor_.life_;
+    life.host_ = name_;
     const bool sameLife = life == executor_.life_;
     if (life.born_ < executor_.life_.born_ || (sameLife && beat.sequence_ <= beatSequence_)) {
         log("heartbeat-ignored", {{"executor", life.executor_.str()}, {"born", std::to_string(life.born_)}});
@@ -205,6 +206,7 @@
     beatSequence_ = beat.sequence_;
     const bool left = sameLife && executor_.left_;
     executor_ = beat.executor_;
+    executor_.life_ = life;
     executor_.left_ = left;
 }
 
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -26,7 +26,7 @@
 constexpr milliseconds permitFreshness{3'000};
 
 /// How long after its report an agent may keep extending leases on the strength of the answer.
-constexpr milliseconds permitLength{8'000};
+constexpr milliseconds permitLength{6'500};
 
 /// How far clocks may be apart over permitLength (2 %), and what a call may take on the way.
 constexpr milliseconds permitSlack{500};
--- a/src/core/batch/job.h
+++ b/src/core/batch/job.h
@@ -155,13 +155,14 @@
 {
     ExecutorId executor_;
     std::int64_t born_ = 0; ///< Unix millisecond of its start
+    std::string host_; ///< its host, by the name of the agent there; a host has one executor at a time
 
     friend auto operator<=>(const Incarnation &, const Incarnation &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(executor_, born_);
+        archive(executor_, born_, host_);
     }
 };
 
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -132,11 +132,12 @@
     std::int64_t acknowledged_ = 0; ///< ends up to this number are stored
     std::vector<StartOrder> starts_;
     std::vector<RunId> stops_;
+    std::string leaderAddress_; ///< from an entry that doesn't lead: who does; all else is empty then
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(epoch_, echoSequence_, echoSentAt_, permit_, life_, acknowledged_, starts_, stops_);
+        archive(epoch_, echoSequence_, echoSentAt_, permit_, life_, acknowledged_, starts_, stops_, leaderAddress_);
     }
 };
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -247,6 +247,21 @@
     }
 }
 
+/// Settles what ran in earlier lives on the host, which may have had other names: the present one answers at their address.
+void settleFormerLivesOnHost(Board &board, const Incarnation &present)
+{
+    for (auto &[id, executor] : board.executors_) {
+        const Incarnation &life = executor.facts_.life_;
+        if (id == present.executor_ || life.host_ != present.host_ || life.born_ >= present.born_) {
+            continue;
+        }
+        const std::set<RunId> runs = executor.runs_;
+        for (const RunId &run : runs) {
+            settleRun(board, run, "executor-replaced");
+        }
+    }
+}
+
 Executor &executorOf(Board &board, const Report &report)
 {
     Executor &executor = board.executors_[report.executor_.life_.executor_];
@@ -303,6 +318,7 @@
     if (!report.listsValid_ || report.epoch_ != board.epoch_) {
         return;
     }
+    settleFormerLivesOnHost(board, executor.facts_.life_);
     executor.orphans_.clear();
     for (const RunningTask &task : report.running_) {
         noteRunning(board, executor, task);
@@ -373,6 +389,9 @@
 
 void settleSilent(Board &board)
 {
+    if (!board.mayOrder()) {
+        return; // perhaps agents are silent because they obey another leader
+    }
     for (auto &[id, executor] : board.executors_) {
         if (executor.runs_.empty()) {
             continue;
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -6,8 +6,8 @@
 #include "core/batch/codec.h"
 #include "daemon/log.h"
 #include "executor_client.h"
-#include "keys.h"
 #include "mailbox.h"
+#include "membership.h"
 #include "net/socket.h"
 #include "store_client.h"
 
@@ -25,8 +25,6 @@
 
 constexpr std::size_t maxFrame = std::size_t{4} * 1024 * 1024;
 constexpr milliseconds connectTimeout{400};
-constexpr milliseconds readTimeout{700};
-constexpr milliseconds watchWait{10'000};
 constexpr milliseconds retryPause{200};
 constexpr milliseconds tick{100};
 
@@ -64,6 +62,7 @@
         , store_(settings.storeAddress_)
         , core_(settings.nodeName_, settings.stopLimit_)
         , control_(settings.controlAddress_, news())
+        , membership_(store_, [this](const Members &members) { membersChanged(members); })
     {
     }
 
@@ -71,6 +70,7 @@
     {
         std::thread([this] { step(); }).detach();
         std::thread([this] { hold(); }).detach();
+        std::thread([this] { membership_.run(); }).detach();
         std::thread([this] { followLeader(); }).detach();
         for (int thread = 0; thread < orderThreads; ++thread) {
             std::thread([this] { callExecutor(); }).detach();
@@ -182,21 +182,12 @@
         }
     }
 
-    /// Finds the leader by its key, and reads its directives until the connection ends.
+    /// Finds the leader, and reads its directives until the connection ends.
     void followLeader()
     {
+        std::size_t turn = 0;
         for (;;) {
-            const auto address = leaf::try_handle_all(
-                [&]() -> Result<std::optional<Address>> {
-                    BOOST_LEAF_AUTO(item, store_.get(keys::leader, readTimeout));
-                    return item ? Address::parse(item->value_) : std::nullopt;
-                },
-                [](const StoreError &error) -> std::optional<Address> {
-                    logEvent(LogLevel::Warning, "leader-key-unread", {{"error", toString(error.code_)}});
-                    return std::nullopt;
-                },
-                []() -> std::optional<Address> { return std::nullopt; });
-            if (address) {
+            if (const auto address = nextAddress(turn++)) {
                 leaf::try_handle_all([&]() -> Result<void> { return talkTo(*address); },
                                      [&](const SocketError &error) {
                                          logEvent(LogLevel::Warning, "leader-unreachable", {{"address", address->str()}, {"errno", error.errno_}});
@@ -207,6 +198,30 @@
         }
     }
 
+    /// Returns whom to ask: the leader by the store's word or by an entry's, in turn with the entries, which know who leads even when the
+    /// store turns this host away.
+    std::optional<Address> nextAddress(std::size_t turn)
+    {
+        const Members members = membership_.members();
+        const auto hint = std::exchange(redirected_, std::nullopt);
+        if (hint) {
+            return hint;
+        }
+        if (membership_.connected() || members.entries_.empty() || turn % 2 == 0) {
+            return members.leader_;
+        }
+        return std::next(members.entries_.begin(), static_cast<std::ptrdiff_t>(turn / 2 % members.entries_.size()))->second;
+    }
+
+    /// Leaves a leader that has been replaced.
+    void membersChanged(const Members &members)
+    {
+        const std::lock_guard lock(leaderMutex_);
+        if (leader_ && members.leader_ && !(*members.leader_ == leaderAddress_)) {
+            leader_->shutdown();
+        }
+    }
+
     Result<void> talkTo(const Address &address)
     {
         BOOST_LEAF_AUTO(connection, connectTcp(address, connectTimeout));
@@ -219,12 +234,17 @@
         {
             const std::lock_guard lock(leaderMutex_);
             leader_ = socket;
+            leaderAddress_ = address;
         }
         inputs_.wake();
         for (auto frame = readFrame(*socket, maxFrame); frame; frame = readFrame(*socket, maxFrame)) {
             leaf::try_handle_all(
                 [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(directive, batch::decodeDirective(*frame));
+                    if (directive.epoch_ == 0) {
+                        redirected_ = Address::parse(directive.leaderAddress_);
+                        return {};
+                    }
                     inputs_.put(std::move(directive));
                     return {};
                 },
@@ -248,6 +268,9 @@
     Mailbox<std::variant<batch::CallStart, batch::CallStop>> calls_;
     std::mutex leaderMutex_;
     std::shared_ptr<Socket> leader_;
+    Address leaderAddress_;
+    std::optional<Address> redirected_; ///< the leader by an entry's word; of followLeader()'s thread
+    Membership membership_;
 };
 
 }
--- a/src/node/agent_link.cpp
+++ b/src/node/agent_link.cpp
@@ -32,9 +32,10 @@
 
 }
 
-AgentListener::AgentListener(Address address, Take take)
+AgentListener::AgentListener(Address address, Take take, FindLeader findLeader)
     : address_(address)
     , take_(std::move(take))
+    , findLeader_(std::move(findLeader))
 {
 }
 
@@ -50,14 +51,27 @@
 {
     for (;;) {
         Socket socket = acceptTcp(listener_, acceptWait);
-        if (!socket.valid() || !leading_) {
+        if (!socket.valid()) {
             continue;
         }
         limitSilence(socket);
+        if (!leading_) {
+            redirect(socket);
+            continue;
+        }
         std::thread([this, shared = std::make_shared<Socket>(std::move(socket))] { serve(shared); }).detach();
     }
 }
 
+void AgentListener::redirect(const Socket &socket) const
+{
+    batch::Directive directive;
+    if (const auto leader = findLeader_()) {
+        directive.leaderAddress_ = leader->str();
+    }
+    (void)writeFrame(socket, batch::encode(directive));
+}
+
 void AgentListener::serve(const std::shared_ptr<Socket> &socket)
 {
     std::string name;
--- a/src/node/agent_link.h
+++ b/src/node/agent_link.h
@@ -19,8 +19,10 @@
 {
 public:
     using Take = std::function<void(batch::Report)>;
+    using FindLeader = std::function<std::optional<Address>()>;
 
-    AgentListener(Address address, Take take);
+    /// \p findLeader tells where agents are sent that come while this entry doesn't lead.
+    AgentListener(Address address, Take take, FindLeader findLeader);
 
     /// Starts listening. Errors: SocketError.
     [[nodiscard]] Result<void> start();
@@ -34,9 +36,11 @@
 private:
     void accept();
     void serve(const std::shared_ptr<Socket> &socket);
+    void redirect(const Socket &socket) const;
 
     Address address_;
     Take take_;
+    FindLeader findLeader_;
     Socket listener_;
     std::atomic<bool> leading_{false};
     std::mutex mutex_;
--- a/src/node/election.cpp
+++ b/src/node/election.cpp
@@ -1,20 +1,17 @@
 #include "election.h"
 
 #include "clock.h"
+#include "core/batch/board.h"
 #include "daemon/log.h"
 #include "keys.h"
 
-#include <thread>
-
 namespace bergamotwick::node {
 
 namespace {
 
 using batch::milliseconds;
 
-constexpr milliseconds readTimeout{700};
 constexpr milliseconds writeTimeout{900};
-constexpr milliseconds watchWait{10'000};
 constexpr milliseconds retryPause{150};
 
 /// The lease is renewed this many times within its length.
@@ -22,8 +19,9 @@
 
 }
 
-Election::Election(platform::StoreClient &store, std::string address, milliseconds ttl, Events events)
+Election::Election(platform::StoreClient &store, const Membership &membership, std::string address, milliseconds ttl, Events events)
     : store_(store)
+    , membership_(membership)
     , address_(std::move(address))
     , ttl_(ttl)
     , events_(std::move(events))
@@ -33,45 +31,27 @@
 void Election::run()
 {
     while (!stopping_) {
-        if (waitForVacancy()) {
+        const bool vacant = membership_.connected() && !membership_.members().leader_;
+        if (vacant) {
             compete();
-        } else {
-            std::this_thread::sleep_for(retryPause);
         }
+        std::unique_lock lock(mutex_);
+        woken_.wait_for(lock, retryPause);
     }
 }
 
-void Election::stop() noexcept
+void Election::stop()
 {
     stopping_ = true;
+    wake();
 }
 
-bool Election::waitForVacancy()
+void Election::wake()
 {
-    return leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(range, store_.range(keys::leader, readTimeout));
-            if (range.items_.empty()) {
-                return true;
-            }
-            std::int64_t revision = range.atRevision_;
-            while (!stopping_) {
-                BOOST_LEAF_AUTO(changes, store_.watch(keys::leader, revision, watchWait));
-                if (changes.historyLost_) {
-                    return false;
-                }
-                if (!changes.events_.empty() && changes.events_.back().removed_) {
-                    return true;
-                }
-                revision = std::max(revision, changes.atRevision_);
-            }
-            return false;
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "leader-key-unread", {{"error", toString(error.code_)}});
-            return false;
-        },
-        [] { return false; });
+    {
+        const std::lock_guard lock(mutex_);
+    }
+    woken_.notify_all();
 }
 
 void Election::compete()
@@ -107,7 +87,13 @@
     Instant seen = since;
     const char *reason = "stopping";
     while (!stopping_) {
-        std::this_thread::sleep_for(ttl_ / renewalsPerLease);
+        {
+            std::unique_lock lock(mutex_);
+            woken_.wait_for(lock, ttl_ / renewalsPerLease, [this] { return stopping_.load(); });
+        }
+        if (stopping_) {
+            break;
+        }
         const Instant sent = bootNow();
         const auto kept = leaf::try_handle_all(
             [&]() -> Result<int> {
@@ -126,6 +112,9 @@
         if (kept == 1) {
             seen = sent;
             events_.renewed_(sent);
+        } else if (bootNow() - seen > batch::permitFreshness) {
+            reason = "store-unreachable"; // agents may find another leader
+            break;
         }
     }
     logEvent(LogLevel::Info, "leader-lost", {{"epoch", epoch}, {"reason", reason}, {"seen_ms", (bootNow() - seen).count() / 1000}});
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "core/batch/time.h"
+#include "membership.h"
 #include "store_client.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
+#include <mutex>
 #include <string>
 
 namespace bergamotwick::node {
@@ -23,22 +26,27 @@
     };
 
     /// \p address is what agents connect to.
-    Election(platform::StoreClient &store, std::string address, batch::milliseconds ttl, Events events);
+    Election(platform::StoreClient &store, const Membership &membership, std::string address, batch::milliseconds ttl, Events events);
 
     /// Competes until stop(); gives the key up before it returns.
     void run();
-    void stop() noexcept;
+    void stop();
+
+    /// Tells that the membership has changed.
+    void wake();
 
 private:
-    [[nodiscard]] bool waitForVacancy();
     void compete();
     void lead(std::int64_t lease, std::int64_t epoch, Instant since);
 
     platform::StoreClient &store_;
+    const Membership &membership_;
     std::string address_;
     batch::milliseconds ttl_;
     Events events_;
     std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::condition_variable woken_;
 };
 
 }
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -8,6 +8,7 @@
 #include "election.h"
 #include "job_service.h"
 #include "leader_host.h"
+#include "membership.h"
 
 #include <algorithm>
 #include <thread>
@@ -46,10 +47,15 @@
         : settings_(settings)
         , store_(settings.storeAddress_)
         , config_(store_, [this] { configChanged(); })
-        , listener_(agentAddress(settings), [this](batch::Report report) { leader_.input(std::move(report)); })
+        , membership_(store_, [this](const Members &) { election_.wake(); })
+        , registration_(store_, settings.nodeName_, agentAddress(settings).str())
+        , listener_(
+              agentAddress(settings),
+              [this](batch::Report report) { leader_.input(std::move(report)); },
+              [this] { return membership_.connected() ? membership_.members().leader_ : std::nullopt; })
         , leader_(
               store_, limitsOf(settings), config_, [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
-        , election_(store_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
+        , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
         , service_(store_, config_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
         , callers_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
         , readiness_(settings.readinessAddress_, [this] { return !stopping_ && service_.ready(); })
@@ -72,19 +78,23 @@
             return 1;
         }
         std::thread([this] { config_.run(); }).detach();
+        std::thread([this] { membership_.run(); }).detach();
+        std::thread registration([this] { registration_.run(); });
         std::thread election([this] { election_.run(); });
         std::thread callers([this] { serve(callers_.run(), "callers"); });
         std::thread readiness([this] { serve(readiness_.run(), "readiness"); });
         waitForStop();
         stopping_ = true;
         election_.stop();
+        registration_.stop();
         std::this_thread::sleep_for(balancerLag);
         callers_.stop();
         callers.join();
         readiness_.stop();
         readiness.join();
         logEvent(LogLevel::Info, "stopped", {});
-        election.detach(); // it may wait for the store for longer than the grace period
+        election.detach(); // these may wait for the store for longer than the grace period
+        registration.detach();
         return 0;
     }
 
@@ -124,6 +134,8 @@
     platform::NodeSettings settings_;
     platform::StoreClient store_;
     ConfigReplica config_;
+    Membership membership_;
+    Registration registration_;
     AgentListener listener_;
     LeaderHost leader_;
     Election election_;
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -68,7 +68,7 @@
 }
 
 /// One stretch of leading.
-struct LeaderHost::Term
+struct LeaderHost::Term : std::enable_shared_from_this<LeaderHost::Term>
 {
     Term(LeaderHost &host, std::int64_t epoch, Instant since)
         : host_(host)
@@ -146,7 +146,8 @@
         if (stopping_) {
             return;
         }
-        std::thread watcher([this] { watchInbox(); });
+        // A watch may wait for longer than a handover; it keeps the term alive until it ends.
+        std::thread([self = shared_from_this()] { self->watchInbox(); }).detach();
         if (const auto view = host_.config_.view()) {
             loaded_.insert(loaded_.begin(), batch::ConfigChanged{view->config_});
             loaded_.emplace_back(batch::EvacuationsChanged{view->evacuated_});
@@ -157,7 +158,6 @@
             carryOut(leader_.step(bootNow(), calendarNow(), std::move(inputs)));
             idle_ = finishing_ && leader_.settled();
         }
-        watcher.join();
     }
 
     void watchInbox()
--- /dev/null
+++ b/src/node/membership.cpp
@@ -0,0 +1,172 @@
+#include "membership.h"
+
+#include "clock.h"
+#include "daemon/log.h"
+#include "keys.h"
+
+#include <thread>
+
+namespace bergamotwick::node {
+
+namespace {
+
+using batch::milliseconds;
+
+constexpr milliseconds readTimeout{700};
+constexpr milliseconds writeTimeout{900};
+constexpr milliseconds watchWait{10'000};
+constexpr milliseconds retryPause{150};
+
+/// An entry that is gone stays known for this long; callers of its address find out by themselves.
+constexpr milliseconds entryTtl{12'000};
+constexpr milliseconds entryRenewal{4'000};
+
+void apply(const platform::Item &item, Members &members)
+{
+    if (item.key_ == keys::leader) {
+        members.leader_ = item.removed_ ? std::nullopt : Address::parse(item.value_);
+        members.epoch_ = item.removed_ ? 0 : item.createdRevision_;
+        return;
+    }
+    if (!item.key_.starts_with(keys::entries)) {
+        return;
+    }
+    const std::string name = item.key_.substr(keys::entries.size());
+    const auto address = Address::parse(item.value_);
+    if (item.removed_ || !address) {
+        members.entries_.erase(name);
+    } else {
+        members.entries_[name] = *address;
+    }
+}
+
+}
+
+Membership::Membership(platform::StoreClient &store, std::function<void(const Members &)> changed)
+    : store_(store)
+    , changed_(std::move(changed))
+{
+}
+
+void Membership::run()
+{
+    while (!stopping_) {
+        connected_ = readAll();
+        while (connected_ && !stopping_) {
+            connected_ = follow();
+        }
+        std::this_thread::sleep_for(retryPause);
+    }
+}
+
+void Membership::stop() noexcept
+{
+    stopping_ = true;
+}
+
+Members Membership::members() const
+{
+    const std::lock_guard lock(mutex_);
+    return members_;
+}
+
+bool Membership::readAll()
+{
+    return leaf::try_handle_all(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(range, store_.range(keys::members, readTimeout));
+            Members next;
+            for (const platform::Item &item : range.items_) {
+                apply(item, next);
+            }
+            next.revision_ = range.atRevision_;
+            publish(std::move(next));
+            return true;
+        },
+        [](const StoreError &error) {
+            logEvent(LogLevel::Warning, "members-unread", {{"error", toString(error.code_)}});
+            return false;
+        },
+        [] { return false; });
+}
+
+bool Membership::follow()
+{
+    return leaf::try_handle_all(
+        [&]() -> Result<bool> {
+            Members next = members();
+            BOOST_LEAF_AUTO(changes, store_.watch(keys::members, next.revision_, watchWait));
+            if (changes.historyLost_) {
+                logEvent(LogLevel::Info, "members-history-lost", {{"revision", next.revision_}});
+                return false;
+            }
+            for (const platform::Item &item : changes.events_) {
+                apply(item, next);
+            }
+            next.revision_ = std::max(next.revision_, changes.atRevision_);
+            publish(std::move(next));
+            return true;
+        },
+        [](const StoreError &error) {
+            logEvent(LogLevel::Warning, "members-watch-failed", {{"error", toString(error.code_)}});
+            return false;
+        },
+        [] { return false; });
+}
+
+void Membership::publish(Members next)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        members_ = next;
+    }
+    changed_(next);
+}
+
+Registration::Registration(platform::StoreClient &store, std::string name, std::string address)
+    : store_(store)
+    , name_(std::move(name))
+    , address_(std::move(address))
+{
+}
+
+void Registration::run()
+{
+    std::int64_t lease = 0;
+    while (!stopping_) {
+        const bool registered = leaf::try_handle_all(
+            [&]() -> Result<bool> {
+                if (lease != 0) {
+                    BOOST_LEAF_AUTO(alive, store_.keepLease(lease, writeTimeout));
+                    lease = alive ? lease : 0;
+                    return alive;
+                }
+                BOOST_LEAF_AUTO(granted, store_.grantLease(entryTtl, writeTimeout));
+                platform::Transaction transaction;
+                transaction.puts_ = {{keys::entries + name_, address_, granted}};
+                BOOST_LEAF_AUTO(result, store_.apply(transaction, writeTimeout));
+                lease = result.applied_ ? granted : 0;
+                return result.applied_;
+            },
+            [](const StoreError &error) {
+                logEvent(LogLevel::Warning, "not-registered", {{"error", toString(error.code_)}});
+                return false;
+            },
+            [] { return false; });
+        const Instant until = bootNow() + (registered ? entryRenewal : retryPause * 4);
+        while (!stopping_ && bootNow() < until) {
+            std::this_thread::sleep_for(retryPause);
+        }
+    }
+    if (lease != 0) {
+        leaf::try_handle_all([&]() -> Result<void> { return store_.endLease(lease, writeTimeout); },
+                             [] { logEvent(LogLevel::Info, "registration-left-to-lapse", {}); });
+    }
+}
+
+void Registration::stop() noexcept
+{
+    stopping_ = true;
+}
+
+}
