Carry orders over an executor's restart safely, and take ends of given-up runs into account

Cause, found by randomised runs of leader, agents and executors in virtual time (tests/random/batch_faults_test.cpp): a gang member that was settled removed others under the loop (map::at); an executor that restarts under its old name has seen no fence, so an order held up on the way ran there though the run was settled (LIMIT, TWICE); its ends were acknowledged with the cursor of its former life and lost; the done end of a run that had been given up did not stop the next start (TWICE). Now the fencing token rises with each life, a cursor is sent only to a confirmed life, lists come before work, orphans bar an executor, failed runs are counted by number, late ends count. Twins without leader condition and without fences turn named tests red.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -52,7 +52,15 @@
 HoldCall AgentCore::nextHold(Instant now)
 {
     now_ = now;
-    return {epoch_, acknowledged_, leaseEnd()};
+    return {executor_.life_, fence(), lifeConfirmed_ ? acknowledged_ : 0, leaseEnd()};
+}
+
+std::int64_t AgentCore::fence() const
+{
+    // A new life under an old name has seen no fence, and an order to its former life may still be on the way. So the token rises with
+    // each life too: tenths of a second of its birth, of which 2^20 are over a day.
+    constexpr std::int64_t lives = std::int64_t{1} << 20;
+    return epoch_ * lives + executor_.life_.born_ / 100 % lives;
 }
 
 ExecutorTime AgentCore::executorClock(Instant at) const
@@ -126,7 +134,7 @@
         return;
     }
     ++order.tries_;
-    outputs_.emplace_back(CallStart{order.life_, order.start_, *end, epoch_});
+    outputs_.emplace_back(CallStart{order.life_, order.start_, *end, fence()});
 }
 
 void AgentCore::beginStop(const RunId &run)
@@ -144,7 +152,7 @@
 
 void AgentCore::callStop(const RunId &run, const Order &order)
 {
-    outputs_.emplace_back(CallStop{order.life_, run, epoch_});
+    outputs_.emplace_back(CallStop{order.life_, run, fence()});
 }
 
 void AgentCore::take(const StartAnswered &answer)
@@ -155,6 +163,7 @@
     }
     Order &order = found->second;
     if (answer.answer_ == OrderAnswer::Unknown) {
+        lifeConfirmed_ = false;
         log("start-unanswered", {{"run", toString(answer.run_)}, {"tries", std::to_string(order.tries_)}, {"reason", answer.reason_}});
         if (order.tries_ < maxStartTries) {
             callStart(answer.run_, order);
@@ -196,6 +205,7 @@
     if (!sameLife) {
         log("executor-seen", {{"executor", life.executor_.str()}, {"born", std::to_string(life.born_)}});
         listsValid_ = false;
+        lifeConfirmed_ = false;
         clockKnown_ = false;
         acknowledged_ = 0;
         orders_.clear();
@@ -223,6 +233,7 @@
 void AgentCore::take(const HoldAnswered &answer)
 {
     refusals_ = 0;
+    lifeConfirmed_ = answer.born_ == executor_.life_.born_;
     if (answer.born_ != executor_.life_.born_ || executor_.life_.executor_.empty()) {
         return; // its heartbeat tells who it is now
     }
@@ -230,7 +241,7 @@
     clock_ = answer.clock_;
     clockAt_ = now_;
     clockKnown_ = true;
-    if (answer.epoch_ != epoch_ || epoch_ == 0) {
+    if (answer.epoch_ != fence() || epoch_ == 0) {
         return;
     }
     const bool changed = !listsValid_ || answer.running_.size() != running_.size() || !answer.ended_.empty();
@@ -267,6 +278,7 @@
 void AgentCore::take(const HoldFailed &failure)
 {
     refusals_ = failure.refused_ ? refusals_ + 1 : 0;
+    lifeConfirmed_ = false;
     if (executor_.life_.executor_.empty() || epoch_ == 0) {
         return;
     }
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -35,7 +35,7 @@
 struct HoldAnswered
 {
     Instant sentAt_{};
-    std::int64_t epoch_ = 0;
+    std::int64_t epoch_ = 0; ///< fencing token of the call
     std::int64_t born_ = 0;
     ExecutorTime clock_{0};
     std::vector<RunningTask> running_;
@@ -97,6 +97,7 @@
 /// What to ask of the executor next.
 struct HoldCall
 {
+    Incarnation life_; ///< whom to ask; nobody while its name is empty
     std::int64_t epoch_ = 0;
     std::int64_t acknowledged_ = 0;
     std::optional<ExecutorTime> leaseEnd_; ///< nothing while no leader's word is fresh enough
@@ -157,6 +158,7 @@
     void settleOrders(const HoldAnswered &answer);
     void declareEmpty(const char *reason);
     void forgetOldOrders();
+    [[nodiscard]] std::int64_t fence() const;
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields);
     [[nodiscard]] ExecutorTime executorClock(Instant at) const;
     [[nodiscard]] std::optional<ExecutorTime> leaseEnd();
@@ -170,6 +172,7 @@
     std::optional<Directive> latest_;
     ExecutorFacts executor_;
     std::int64_t beatSequence_ = 0;
+    bool lifeConfirmed_ = false; ///< the last call was answered by executor_.life_; ends of another life must not be acknowledged
     bool clockKnown_ = false;
     ExecutorTime clock_{0}; ///< at clockAt_
     Instant clockAt_{};
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -69,6 +69,7 @@
     ExecutorFacts facts_;
     std::string agent_;
     bool reported_ = false; ///< to this leader
+    bool listed_ = false; ///< its present life has told this leader what it has at work
     Instant lastReport_{};
     Instant lastPermit_{}; ///< when a directive that lets leases be extended was last sent
     std::set<RunId> runs_;
--- a/src/core/batch/job.h
+++ b/src/core/batch/job.h
@@ -170,8 +170,7 @@
 struct TaskProgress
 {
     std::uint32_t run_ = 0; ///< highest run number given out; 0 before the first start
-    std::uint16_t failures_ = 0;
-    std::uint32_t failedRun_ = 0; ///< last run that was counted in failures_; a gang's run counts once
+    std::vector<std::uint32_t> failedRuns_; ///< runs that ended as failed; a gang's run stands once with each member
     bool done_ = false;
     bool assigned_ = false; ///< run_ may be running at place_
     Incarnation place_;
@@ -180,7 +179,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(run_, failures_, failedRun_, done_, assigned_, place_, checkpoint_);
+        archive(run_, failedRuns_, done_, assigned_, place_, checkpoint_);
     }
 };
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -92,16 +92,16 @@
 void applyFailure(Board &board, Job &job, const RunId &run, std::size_t index)
 {
     const auto [first, last] = sharedRange(job, run, index);
-    if (job.progress_.tasks_[first].failedRun_ >= run.run_ || job.progress_.tasks_[index].done_) {
+    const std::vector<std::uint32_t> &counted = job.progress_.tasks_[first].failedRuns_;
+    if (std::find(counted.begin(), counted.end(), run.run_) != counted.end() || job.progress_.tasks_[index].done_) {
         return;
     }
     for (std::size_t at = first; at < last; ++at) {
-        job.progress_.tasks_[at].failedRun_ = run.run_;
-        ++job.progress_.tasks_[at].failures_;
+        job.progress_.tasks_[at].failedRuns_.push_back(run.run_);
     }
     job.touch();
     const bool bounded = !job.submission_.steps_[run.task_.step_].longRunning_;
-    if (bounded && job.progress_.tasks_[first].failures_ >= job.maxAttempts_) {
+    if (bounded && counted.size() >= static_cast<std::size_t>(job.maxAttempts_)) {
         finishJob(board, job, JobState::Failed, "attempts-used-up");
     }
 }
@@ -144,6 +144,29 @@
     }
 }
 
+/// Takes in the end of a run that had been given up: what is done is done, and what failed counts, though another run may be at work.
+void applyLateEnd(Board &board, const EndedRun &end)
+{
+    board.decide("end-of-given-up-run", {{"run", toString(end.run_)}, {"how", toString(end.how_)}});
+    const auto found = board.jobs_.find(end.run_.task_.job_);
+    if (found == board.jobs_.end()) {
+        return;
+    }
+    Job &job = found->second;
+    const auto index = indexOf(job.submission_, end.run_.task_);
+    if (!index || isFinal(job.progress_.state_) || job.submission_.steps_[end.run_.task_.step_].longRunning_) {
+        return;
+    }
+    TaskProgress &task = job.progress_.tasks_[*index];
+    if (end.how_ == EndKind::Done && !task.done_) {
+        const RunId current{end.run_.task_, task.run_};
+        stopRun(board, current, "already-done");
+        applyDone(board, job, end.run_, *index);
+    } else if (end.how_ == EndKind::Failed) {
+        applyFailure(board, job, end.run_, *index);
+    }
+}
+
 void takeEnds(Board &board, Executor &executor, const std::vector<EndedRun> &ends)
 {
     for (const EndedRun &end : ends) {
@@ -157,7 +180,7 @@
         if (run != board.runs_.end() && run->second.place_ == executor.facts_.life_) {
             applyEnd(board, executor, end);
         } else {
-            board.decide("end-without-run", {{"run", toString(end.run_)}, {"how", toString(end.how_)}});
+            applyLateEnd(board, end);
         }
         const auto found = board.jobs_.find(job);
         executor.pendingEnds_.push_back({end.number_, job, found == board.jobs_.end() ? 0 : found->second.version_});
@@ -179,6 +202,19 @@
     }
 }
 
+/// Settles the runs on \p executor that \p which picks. Settling one may remove others of its gang.
+template<class Which>
+void settleRuns(Board &board, const Executor &executor, const char *reason, Which which)
+{
+    const std::set<RunId> runs = executor.runs_;
+    for (const RunId &id : runs) {
+        const auto run = board.runs_.find(id);
+        if (run != board.runs_.end() && which(run->second)) {
+            settleRun(board, id, reason);
+        }
+    }
+}
+
 void noteRunning(Board &board, Executor &executor, const RunningTask &task)
 {
     const auto found = board.runs_.find(task.run_);
@@ -226,24 +262,25 @@
     for (const RunningTask &task : report.running_) {
         known.insert(task.run_);
     }
-    const std::set<RunId> runs = executor.runs_;
-    for (const RunId &id : runs) {
-        const Run &run = board.runs_.at(id);
+    settleRuns(board, executor, "missing", [&](const Run &run) {
         const bool listed = run.phase_ == RunPhase::Running || run.recovered_;
-        if (run.place_ == executor.facts_.life_ && listed && !known.contains(id)) {
-            settleRun(board, id, "missing");
-        }
-    }
+        return run.place_ == executor.facts_.life_ && listed && !known.contains(run.id_);
+    });
 }
 
-/// Settles what ran in earlier lives of the executor, or all if it has left.
-void settleOtherLives(Board &board, Executor &executor)
+/// Carries what was given to an earlier life of the executor over to the present one. Nothing of it runs, unless an order that was held
+/// up on the way reached the present life before its first fence did; its first lists tell, and settle the rest.
+void carryOverToPresentLife(Board &board, Executor &executor)
 {
-    const std::set<RunId> runs = executor.runs_;
-    for (const RunId &id : runs) {
-        if (executor.facts_.left_ || board.runs_.at(id).place_.born_ != executor.facts_.life_.born_) {
-            settleRun(board, id, executor.facts_.left_ ? "executor-left" : "executor-restarted");
+    for (const RunId &id : executor.runs_) {
+        Run &run = board.runs_.at(id);
+        if (run.place_.born_ == executor.facts_.life_.born_) {
+            continue;
         }
+        run.place_ = executor.facts_.life_;
+        run.recovered_ = true;
+        run.percent_ = 0;
+        run.phase_ = run.phase_ == RunPhase::Stopping ? RunPhase::Stopping : RunPhase::Starting;
     }
 }
 
@@ -255,10 +292,7 @@
         if (id == present.executor_ || life.host_ != present.host_ || life.born_ >= present.born_) {
             continue;
         }
-        const std::set<RunId> runs = executor.runs_;
-        for (const RunId &run : runs) {
-            settleRun(board, run, "executor-replaced");
-        }
+        settleRuns(board, executor, "executor-replaced", [](const Run &) { return true; });
     }
 }
 
@@ -266,6 +300,8 @@
 {
     Executor &executor = board.executors_[report.executor_.life_.executor_];
     if (executor.facts_.life_ != report.executor_.life_) {
+        executor.listed_ = false;
+        executor.orphans_.clear();
         executor.pendingEnds_.clear();
         executor.acknowledged_ = 0;
         executor.failedJobs_.clear();
@@ -314,11 +350,15 @@
         return;
     }
     Executor &executor = executorOf(board, report);
-    settleOtherLives(board, executor);
+    if (executor.facts_.left_) {
+        settleRuns(board, executor, "executor-left", [](const Run &) { return true; });
+    }
+    carryOverToPresentLife(board, executor);
     if (!report.listsValid_ || report.epoch_ != board.epoch_) {
         return;
     }
     settleFormerLivesOnHost(board, executor.facts_.life_);
+    executor.listed_ = true;
     executor.orphans_.clear();
     for (const RunningTask &task : report.running_) {
         noteRunning(board, executor, task);
@@ -401,10 +441,7 @@
         if (board.now_ < lastWord + length) {
             continue;
         }
-        const std::set<RunId> runs = executor.runs_;
-        for (const RunId &run : runs) {
-            settleRun(board, run, "lease-over");
-        }
+        settleRuns(board, executor, "lease-over", [](const Run &) { return true; });
     }
 }
 
@@ -432,7 +469,11 @@
         }
     }
     for (const auto &[id, reason] : stuck) {
-        Run &run = board.runs_.at(id);
+        const auto found = board.runs_.find(id);
+        if (found == board.runs_.end()) {
+            continue; // went with another member of its gang
+        }
+        const Run &run = found->second;
         Job &job = board.jobs_.at(id.task_.job_);
         if (std::string_view(reason) == "standstill") {
             shun(board, job, *indexOf(job.submission_, id.task_), run.place_.executor_);
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -148,9 +148,13 @@
                 const std::lock_guard lock(coreMutex_);
                 call = core_.nextHold(sent);
             }
+            if (call.life_.executor_.empty()) {
+                std::this_thread::sleep_for(holdPause / 4); // its first heartbeat will name it
+                continue;
+            }
             leaf::try_handle_all(
                 [&]() -> Result<void> {
-                    BOOST_LEAF_AUTO(result, client.hold(call.epoch_, call.acknowledged_, call.leaseEnd_, holdWait));
+                    BOOST_LEAF_AUTO(result, client.hold(call.life_, call.epoch_, call.acknowledged_, call.leaseEnd_, holdWait));
                     const bool ended = !result.ended_.empty();
                     inputs_.put(batch::HoldAnswered{sent, call.epoch_, result.born_, result.clock_, std::move(result.running_), std::move(result.ended_)});
                     if (ended) {
--- /dev/null
+++ b/tests/random/batch_faults_test.cpp
@@ -0,0 +1,131 @@
+#include "batch/cluster.h"
+#include "support/expect.h"
+
+#include <rapidcheck.h>
+
+namespace bergamotwick::test {
+
+namespace {
+
+constexpr std::size_t hosts = 6;
+
+/// One job of a random shape; of every kind that the queues know.
+batch::Submission randomJob(int number)
+{
+    const auto count = *rc::gen::inRange<std::uint32_t>(1, 7);
+    const auto accelerators = *rc::gen::element<std::int64_t>(0, 1, 2, 4, 8);
+    const auto length = batch::milliseconds(*rc::gen::inRange(200, 4'000));
+    batch::Submission job = jobOf("job-" + std::to_string(number), count, {4'000, 9'000, accelerators}, length);
+    job.queue_ = "h/" + std::to_string(*rc::gen::inRange(0, 3)) + "/";
+    batch::Step &step = job.steps_[0];
+    step.gang_ = *rc::gen::arbitrary<bool>() && accelerators < 8;
+    step.checkpoints_ = *rc::gen::arbitrary<bool>();
+    step.sameRack_ = *rc::gen::inRange(0, 4) == 0;
+    step.antiAffinity_ = step.gang_ ? 0 : *rc::gen::inRange<std::uint32_t>(0, 3);
+    if (*rc::gen::inRange(0, 4) == 0) {
+        job.steps_.push_back(step);
+        job.steps_[1].after_ = {0};
+        job.steps_[1].gang_ = false;
+    }
+    return job;
+}
+
+/// One thing that goes wrong.
+void randomFault(Cluster &cluster)
+{
+    const auto host = *rc::gen::inRange<std::size_t>(0, hosts);
+    const Duration length = batch::milliseconds(*rc::gen::inRange(200, 9'000));
+    switch (*rc::gen::inRange(0, 12)) {
+    case 0:
+        cluster.cutAgent(host, length);
+        break;
+    case 1:
+        cluster.silenceExecutor(host, length);
+        break;
+    case 2:
+        cluster.restartAgent(host);
+        break;
+    case 3:
+        cluster.restartExecutor(host, *rc::gen::arbitrary<bool>());
+        break;
+    case 4:
+        cluster.failAllOn(host, length);
+        break;
+    case 5:
+        cluster.hangAllOn(host, length);
+        break;
+    case 6:
+        cluster.replaceLeader(300ms + length / 5, *rc::gen::arbitrary<bool>());
+        cluster.run(300ms + length / 5 + 1ms);
+        break;
+    case 7:
+        cluster.faults_.storeDownUntil_ = cluster.now() + length;
+        break;
+    case 8:
+        cluster.faults_.lostAnswers_ = 0.3;
+        break;
+    case 9:
+        cluster.faults_.lateWrites_ = 0.3;
+        break;
+    case 10:
+        cluster.faults_.lateOrders_ = 0.2;
+        break;
+    default:
+        cluster.drain(host, 2s);
+        break;
+    }
+}
+
+}
+
+/// The scheduler on the platform under everything that may go wrong, overlapping and in any order.
+class BatchFaultsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchFaultsTest);
+    CPPUNIT_TEST(promisesHoldUnderAnyFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void promisesHoldUnderAnyFaults()
+    {
+        const bool held = rc::check("promises hold under any faults", [] {
+            Cluster cluster(hosts, *rc::gen::arbitrary<std::uint64_t>());
+            std::vector<JobId> kept;
+            const int jobs = *rc::gen::inRange(3, 14);
+            for (int number = 0; number < jobs; ++number) {
+                const batch::Submission job = randomJob(number);
+                cluster.submit(job);
+                if (*rc::gen::inRange(0, 6) == 0) {
+                    cluster.run(batch::milliseconds(*rc::gen::inRange(0, 500)));
+                    cluster.cancel(job.id_);
+                } else {
+                    kept.push_back(job.id_);
+                }
+                if (*rc::gen::inRange(0, 2) == 0) {
+                    randomFault(cluster);
+                }
+                cluster.run(batch::milliseconds(*rc::gen::inRange(0, 1'500)));
+            }
+            cluster.faults_ = {};
+            cluster.run(10s);
+            for (std::size_t host = 0; host < hosts; ++host) {
+                cluster.restartExecutor(host, false); // drained ones make room for sound ones
+            }
+            cluster.run(90s);
+            for (const std::string &breach : cluster.breaches()) {
+                RC_FAIL(breach);
+            }
+            for (const JobId &job : kept) {
+                const batch::JobState state = cluster.state(job);
+                if (state != batch::JobState::Completed && state != batch::JobState::Failed) {
+                    RC_FAIL("forgotten: " + job.str());
+                }
+            }
+        });
+        CPPUNIT_ASSERT(held);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchFaultsTest);
+
+}
--- /dev/null
+++ b/tests/unit/batch_cluster_test.cpp
@@ -0,0 +1,432 @@
+#include "batch/cluster.h"
+#include "support/expect.h"
+
+namespace bergamotwick::test {
+
+namespace {
+
+const JobId first("first");
+
+batch::Submission gangOf(const std::string &id, std::uint32_t count, batch::Room each, batch::milliseconds length)
+{
+    batch::Submission job = jobOf(id, count, each, length);
+    job.steps_[0].gang_ = true;
+    return job;
+}
+
+void expectNoBreach(const Cluster &cluster)
+{
+    for (const std::string &breach : cluster.breaches()) {
+        CPPUNIT_FAIL(breach);
+    }
+}
+
+void expectCompleted(const Cluster &cluster, const JobId &job)
+{
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(job.str(), static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster.state(job)));
+}
+
+}
+
+/// The leader, agents and executors together, in virtual time.
+class BatchClusterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchClusterTest);
+    CPPUNIT_TEST(jobRunsToItsEnd);
+    CPPUNIT_TEST(stepsRunInOrder);
+    CPPUNIT_TEST(gangRunsOnceAndWhole);
+    CPPUNIT_TEST(failedTaskIsTriedElsewhere);
+    CPPUNIT_TEST(hopelessJobEnds);
+    CPPUNIT_TEST(cancelledJobStops);
+    CPPUNIT_TEST(successorTakesOverWithoutSecondStart);
+    CPPUNIT_TEST(successorStartsSoon);
+    CPPUNIT_TEST(formerLeaderIsHarmless);
+    CPPUNIT_TEST(formerLeaderIsHarmfulWithoutTheLeaderCondition);
+    CPPUNIT_TEST(cutAgentsTasksGoOn);
+    CPPUNIT_TEST(longCutEndsInASecondRunOnlyAfterTheLease);
+    CPPUNIT_TEST(restartedAgentFindsItsTasks);
+    CPPUNIT_TEST(executorUnderANewNameSettlesItsFormerLife);
+    CPPUNIT_TEST(lateOrdersRunNothingTwice);
+    CPPUNIT_TEST(lateOrdersAreHarmfulWithoutFences);
+    CPPUNIT_TEST(storeOutageCostsNoRunningWork);
+    CPPUNIT_TEST(lostAnswersLoseNothing);
+    CPPUNIT_TEST(standstillIsMoved);
+    CPPUNIT_TEST(drainingExecutorGetsNothing);
+    CPPUNIT_TEST(evacuatedDataCentreGetsNothing);
+    CPPUNIT_TEST(guaranteeIsHadBack);
+    CPPUNIT_TEST(antiAffinityHolds);
+    CPPUNIT_TEST(repeatedJobRunsWhenDue);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void jobRunsToItsEnd()
+    {
+        Cluster cluster(3, 1);
+        cluster.submit(jobOf("first", 6, {8'000, 1'000, 2}, 2s));
+        cluster.run(3s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void stepsRunInOrder()
+    {
+        Cluster cluster(2, 1);
+        batch::Submission job = jobOf("first", 2, {1'000, 1'000, 0}, 1s);
+        job.steps_.push_back(job.steps_[0]);
+        job.steps_[1].after_ = {0};
+        cluster.submit(job);
+        cluster.run(4s);
+        expectCompleted(cluster, first);
+        expectNoBreach(cluster);
+    }
+
+    void gangRunsOnceAndWhole()
+    {
+        Cluster cluster(3, 1);
+        cluster.submit(gangOf("first", 3, {1'000, 1'000, 8}, 2s));
+        cluster.submit(gangOf("second", 3, {1'000, 1'000, 8}, 2s));
+        cluster.run(6s);
+        expectCompleted(cluster, first);
+        expectCompleted(cluster, JobId("second"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void failedTaskIsTriedElsewhere()
+    {
+        Cluster cluster(3, 1);
+        cluster.failAllOn(0, 20s);
+        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 1s));
+        cluster.run(6s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void hopelessJobEnds()
+    {
+        Cluster cluster(3, 1);
+        cluster.submit(jobOf("first", 1, {1'000, 1'000, 1}, 1s));
+        cluster.behave(first, 1s, true);
+        cluster.run(5s);
+        CPPUNIT_ASSERT(cluster.state(first) == batch::JobState::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void cancelledJobStops()
+    {
+        Cluster cluster(2, 1);
+        cluster.submit(jobOf("first", 8, {1'000, 1'000, 4}, 4s));
+        cluster.run(1s);
+        cluster.cancel(first);
+        cluster.run(2s);
+        CPPUNIT_ASSERT(cluster.state(first) == batch::JobState::Cancelled);
+        cluster.submit(jobOf("second", 2, {1'000, 1'000, 8}, 1s));
+        cluster.run(2s);
+        expectCompleted(cluster, JobId("second"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void successorTakesOverWithoutSecondStart()
+    {
+        Cluster cluster(3, 1);
+        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 4s));
+        cluster.run(1s);
+        cluster.replaceLeader(1500ms, false);
+        cluster.run(5s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void successorStartsSoon()
+    {
+        Cluster cluster(3, 1);
+        cluster.replaceLeader(1500ms, false);
+        cluster.run(1600ms);
+        const Instant before = cluster.now();
+        cluster.submit(jobOf("first", 1, {1'000, 1'000, 8}, 1s));
+        cluster.run(2s);
+        CPPUNIT_ASSERT(cluster.firstStart(first) < before + 600ms);
+    }
+
+    void formerLeaderIsHarmless()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster woken(3, seed);
+            runWithWokenLeader(woken);
+            expectNoBreach(woken);
+            Cluster late(3, seed);
+            runWithLateWritesOfFormerLeaders(late);
+            expectNoBreach(late);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, forgotten(late));
+        }
+    }
+
+    void formerLeaderIsHarmfulWithoutTheLeaderCondition()
+    {
+        Unprotected unprotected;
+        unprotected.leaderCondition_ = true;
+        std::size_t broken = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster(3, seed, unprotected);
+            runWithLateWritesOfFormerLeaders(cluster);
+            broken += forgotten(cluster) + cluster.breaches().size();
+        }
+        CPPUNIT_ASSERT(broken > 0);
+    }
+
+    void cutAgentsTasksGoOn()
+    {
+        Cluster cluster(3, 1);
+        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 8s));
+        cluster.run(1s);
+        cluster.cutAgent(0, 5500ms);
+        cluster.run(9s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void longCutEndsInASecondRunOnlyAfterTheLease()
+    {
+        Cluster cluster(4, 1);
+        cluster.submit(jobOf("first", 4, {1'000, 1'000, 8}, 12s));
+        cluster.run(1s);
+        cluster.cutAgent(0, 30s);
+        cluster.run(30s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void restartedAgentFindsItsTasks()
+    {
+        Cluster cluster(2, 1);
+        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 6s));
+        cluster.run(1s);
+        cluster.restartAgent(0);
+        cluster.run(6s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void executorUnderANewNameSettlesItsFormerLife()
+    {
+        Cluster cluster(1, 1);
+        cluster.submit(jobOf("first", 1, {1'000, 1'000, 8}, 3s));
+        cluster.run(1s);
+        cluster.restartExecutor(0, false);
+        const Instant reborn = cluster.now();
+        cluster.run(6s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT(cluster.now() - reborn < 7s);
+        expectNoBreach(cluster);
+    }
+
+    void lateOrdersRunNothingTwice()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster(4, seed);
+            runWithLateOrders(cluster);
+            expectNoBreach(cluster);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, forgotten(cluster));
+            Cluster restarted(4, seed);
+            runWithOrdersInDoubt(restarted);
+            expectNoBreach(restarted);
+        }
+    }
+
+    void lateOrdersAreHarmfulWithoutFences()
+    {
+        Unprotected unprotected;
+        unprotected.fences_ = true;
+        std::size_t broken = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster(4, seed, unprotected);
+            runWithOrdersInDoubt(cluster);
+            broken += cluster.breaches().size();
+        }
+        CPPUNIT_ASSERT(broken > 0);
+    }
+
+    void storeOutageCostsNoRunningWork()
+    {
+        Cluster cluster(3, 1);
+        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 9s));
+        cluster.run(1s);
+        cluster.faults_.storeDownUntil_ = cluster.now() + 7s;
+        cluster.run(11s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
+        expectNoBreach(cluster);
+    }
+
+    void lostAnswersLoseNothing()
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            Cluster cluster(3, seed);
+            cluster.faults_.lostAnswers_ = 0.3;
+            cluster.faults_.lateWrites_ = 0.2;
+            submitSeveral(cluster);
+            cluster.run(20s);
+            cluster.faults_ = {};
+            cluster.run(25s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, forgotten(cluster));
+            expectNoBreach(cluster);
+        }
+    }
+
+    void standstillIsMoved()
+    {
+        Cluster cluster(2, 1);
+        cluster.hangAllOn(0, 3s);
+        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 2s));
+        cluster.run(10s);
+        expectCompleted(cluster, first);
+        expectNoBreach(cluster);
+    }
+
+    void drainingExecutorGetsNothing()
+    {
+        Cluster cluster(2, 1);
+        cluster.drain(0, 10s);
+        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 1s));
+        cluster.run(900ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.starts(first));
+        cluster.run(2s);
+        expectCompleted(cluster, first);
+    }
+
+    void evacuatedDataCentreGetsNothing()
+    {
+        Cluster cluster(3, 1);
+        cluster.evacuate("dc-0");
+        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 1s));
+        cluster.run(900ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cluster.starts(first));
+        cluster.run(2s);
+        expectCompleted(cluster, first);
+    }
+
+    void guaranteeIsHadBack()
+    {
+        Cluster cluster(2, 1);
+        cluster.submit(jobOf("borrower", 2, {1'000, 1'000, 8}, 20s));
+        cluster.run(1s);
+        batch::Submission urgent = jobOf("first", 2, {1'000, 1'000, 8}, 2s);
+        urgent.queue_ = "h/0/";
+        const Instant accepted = cluster.now();
+        cluster.submit(urgent);
+        cluster.run(5s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT(cluster.firstStart(first) < accepted + 2900ms);
+        expectNoBreach(cluster);
+    }
+
+    void antiAffinityHolds()
+    {
+        Cluster cluster(3, 1);
+        batch::Submission job = jobOf("first", 6, {1'000, 1'000, 1}, 1s);
+        job.steps_[0].antiAffinity_ = 1;
+        cluster.submit(job);
+        cluster.run(5s);
+        expectCompleted(cluster, first);
+        expectNoBreach(cluster);
+    }
+
+    void repeatedJobRunsWhenDue()
+    {
+        Cluster cluster(2, 1);
+        batch::Submission job = jobOf("first", 1, {1'000, 1'000, 1}, 500ms);
+        job.repeats_ = 3;
+        job.interval_ = 2s;
+        job.firstRun_ = batch::CalendarTime(std::chrono::duration_cast<batch::milliseconds>(cluster.now().time_since_epoch()) + 1s);
+        cluster.submit(job);
+        cluster.run(900ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cluster.starts(first));
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.starts(first));
+        cluster.run(5s);
+        expectCompleted(cluster, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
+    }
+
+private:
+    static void submitSeveral(Cluster &cluster)
+    {
+        for (int job = 0; job < 6; ++job) {
+            cluster.submit(gangOf("gang-" + std::to_string(job), 2, {1'000, 1'000, 8}, 1500ms));
+            cluster.submit(jobOf("wide-" + std::to_string(job), 4, {1'000, 1'000, 2}, 1s));
+            cluster.run(700ms);
+        }
+    }
+
+    static std::size_t forgotten(const Cluster &cluster)
+    {
+        std::size_t count = 0;
+        for (int job = 0; job < 6; ++job) {
+            count += cluster.state(JobId("gang-" + std::to_string(job))) != batch::JobState::Completed ? 1 : 0;
+            count += cluster.state(JobId("wide-" + std::to_string(job))) != batch::JobState::Completed ? 1 : 0;
+        }
+        return count;
+    }
+
+    static void runWithWokenLeader(Cluster &cluster)
+    {
+        for (int round = 0; round < 3; ++round) {
+            cluster.replaceLeader(700ms, true);
+            cluster.run(1s);
+            if (round == 0) {
+                submitSeveral(cluster);
+            }
+            cluster.run(2s);
+        }
+        cluster.run(30s);
+    }
+
+    static void runWithLateWritesOfFormerLeaders(Cluster &cluster)
+    {
+        cluster.faults_.lateWrites_ = 0.4;
+        submitSeveral(cluster);
+        for (int round = 0; round < 4; ++round) {
+            cluster.replaceLeader(300ms, false);
+            cluster.run(2s);
+        }
+        cluster.faults_ = {};
+        cluster.run(30s);
+    }
+
+    /// Orders are under way when the agents that sent them and the leader that gave them go.
+    static void runWithOrdersInDoubt(Cluster &cluster)
+    {
+        cluster.faults_.lateOrders_ = 1;
+        cluster.submit(jobOf("first", 4, {1'000, 1'000, 4}, 5s));
+        cluster.run(100ms);
+        for (std::size_t host = 0; host < 4; ++host) {
+            cluster.restartAgent(host);
+        }
+        cluster.replaceLeader(300ms, false);
+        cluster.run(700ms);
+        cluster.faults_ = {};
+        cluster.run(25s);
+    }
+
+    static void runWithLateOrders(Cluster &cluster)
+    {
+        cluster.faults_.lateOrders_ = 0.2;
+        submitSeveral(cluster);
+        cluster.replaceLeader(1s, false);
+        cluster.run(10s);
+        cluster.faults_ = {};
+        cluster.run(25s);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchClusterTest);
+
+}
