--- a/src/core/batch/codec.cpp
+++ b/src/core/batch/codec.cpp
@@ -1,75 +1,9 @@
 #include "core/batch/codec.h"
 
-#include "wire/archive.h"
-
-#include <xxhash.h>
+#include "core/batch/framing.h"
 
 namespace bergamotwick::batch {
 
-namespace {
-
-constexpr std::uint8_t formatVersion = 1;
-
-/// Tells apart what is encoded, so that bytes of one kind are never read as another.
-enum class Kind : std::uint8_t {
-    Submission = 1,
-    Progress,
-    Report,
-    Directive,
-};
-
-constexpr std::size_t headerBytes = 2 + sizeof(std::uint32_t);
-
-std::uint32_t checksum(std::string_view body, Kind kind)
-{
-    return XXH32(body.data(), body.size(), static_cast<std::uint32_t>(kind));
-}
-
-template<class Value>
-std::string encodeAs(Kind kind, const Value &value)
-{
-    std::string body;
-    OutputArchive archive(body);
-    archive(value);
-    const std::uint32_t sum = checksum(body, kind);
-    std::string bytes;
-    bytes.reserve(headerBytes + body.size());
-    bytes.push_back(static_cast<char>(formatVersion));
-    bytes.push_back(static_cast<char>(kind));
-    bytes.append(reinterpret_cast<const char *>(&sum), sizeof(sum));
-    return bytes + body;
-}
-
-template<class Value>
-Result<Value> decodeAs(Kind kind, std::string_view bytes)
-{
-    if (bytes.size() < headerBytes) {
-        return leaf::new_error(WireError{WireErrc::Truncated});
-    }
-    if (static_cast<std::uint8_t>(bytes[0]) != formatVersion) {
-        return leaf::new_error(WireError{WireErrc::WrongVersion});
-    }
-    std::uint32_t sum = 0;
-    std::memcpy(&sum, bytes.data() + 2, sizeof(sum));
-    const std::string_view body = bytes.substr(headerBytes);
-    if (static_cast<Kind>(bytes[1]) != kind || sum != checksum(body, kind)) {
-        return leaf::new_error(WireError{WireErrc::Corrupt});
-    }
-    Value value;
-    try {
-        InputArchive archive(body);
-        archive(value);
-        if (archive.left() != 0) {
-            return leaf::new_error(WireError{WireErrc::Corrupt});
-        }
-    } catch (const ArchiveFault &) {
-        return leaf::new_error(WireError{WireErrc::Corrupt});
-    }
-    return value;
-}
-
-}
-
 std::string encode(const Submission &value)
 {
     return encodeAs(Kind::Submission, value);
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -18,16 +18,62 @@
 /// An accelerator's worth in thousandths of a core, to compare lost work.
 constexpr std::int64_t acceleratorCpuMilli = 8'000;
 
-/// Work that a stop would throw away, in thousandths of core-milliseconds.
+/// A guaranteed group waits this long for work that is about to end, before it has any stopped: what is left of the time in which a
+/// guarantee must be had back covers a stop and a start.
+constexpr milliseconds guaranteedPatience{1'000};
+
+/// What a run with checkpoints loses by a stop: it has to be loaded again.
+constexpr milliseconds restoreLoss{500};
+
+std::int64_t weightOf(const Step &step)
+{
+    return step.each_.cpuMilli_ + step.each_.accelerators_ * acceleratorCpuMilli;
+}
+
+/// Work that a stop of \p run, and with it of its gang, would throw away, in thousandths of core-milliseconds.
 std::int64_t lostWork(const Board &board, const Run &run)
 {
     const Job &job = board.jobs_.at(run.id_.task_.job_);
     const Step &step = job.submission_.steps_[run.id_.task_.step_];
-    const std::int64_t weight = step.each_.cpuMilli_ + step.each_.accelerators_ * acceleratorCpuMilli;
-    if (step.checkpoints_) {
-        return weight;
+    const std::int64_t members = step.gang_ ? step.count_ : 1;
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
+    const milliseconds lost = step.checkpoints_ ? std::min(restoreLoss, elapsed) : elapsed;
+    return weightOf(step) * members * std::max<std::int64_t>(1, lost.count());
+}
+
+/// Work that \p group brings, in the same unit.
+std::int64_t ownWork(const WaitingGroup &group)
+{
+    const Step &step = group.job_->submission_.steps_[group.group_.step_];
+    return weightOf(step) * static_cast<std::int64_t>(group.tasks_.size()) * step.estimate_.count();
+}
+
+/// Returns how much longer \p run is likely to take, by its progress so far; nothing if it shows none yet.
+std::optional<milliseconds> expectedRest(const Board &board, const Run &run)
+{
+    constexpr std::int32_t leastPercent = 5;
+    if (run.phase_ != RunPhase::Running || run.percent_ < leastPercent) {
+        return std::nullopt;
+    }
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
+    return elapsed * (100 - run.percent_) / run.percent_;
+}
+
+/// Returns whether all unfinished work of priority 0 of the group's workspace fits its guarantee.
+bool isGuaranteed(const Board &board, const Job &job)
+{
+    std::int64_t needed = 0;
+    for (const auto &[id, other] : board.jobs_) {
+        if (other.priority_ != 0 || isFinal(other.progress_.state_) || other.submission_.workspace_ != job.submission_.workspace_) {
+            continue;
+        }
+        std::int64_t widest = 0;
+        for (const Step &step : other.submission_.steps_) {
+            widest = std::max(widest, step.count_ * step.each_.accelerators_);
+        }
+        needed += widest;
     }
-    return weight * std::max<std::int64_t>(1, std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_).count());
+    return needed <= board.config_.guaranteed(job.submission_.workspace_);
 }
 
 /// An executor while victims are chosen.
@@ -46,13 +92,15 @@
     std::int64_t lost_ = 0;
 };
 
-Site siteOf(const Board &board, Executor &executor, const WaitingGroup &group)
+/// \p horizon counts what is likely to end within it as free.
+Site siteOf(const Board &board, Executor &executor, const WaitingGroup &group, milliseconds horizon)
 {
     Site site{&executor, freeRoom(executor, group.job_->submission_.id_, group.group_.first_), allowance(executor, group), {}};
     for (const RunId &id : executor.runs_) {
         const Run &run = board.runs_.at(id);
         const Job &job = board.jobs_.at(id.task_.job_);
-        if (run.phase_ == RunPhase::Stopping) {
+        const auto rest = expectedRest(board, run);
+        if (run.phase_ == RunPhase::Stopping || (rest && *rest < horizon)) {
             site.free_ += run.room_;
         } else if (job.priority_ > group.job_->priority_ && !job.submission_.steps_[id.task_.step_].longRunning_) {
             site.victims_.emplace_back(lostWork(board, run), id);
@@ -154,16 +202,24 @@
         }
         release(board, job, group.group_.first_);
     }
+    const bool guaranteed = isGuaranteed(board, job);
+    const auto waited = std::chrono::duration_cast<milliseconds>(board.now_ - job.acceptedAt_);
+    const milliseconds horizon = std::max(milliseconds(0), guaranteedPatience - waited);
     std::vector<Site> sites;
     for (Executor *executor : candidates(board, group)) {
-        sites.push_back(siteOf(board, *executor, group));
+        sites.push_back(siteOf(board, *executor, group, horizon));
     }
     const auto plan = cheapestPlan(board, sites, group);
-    if (!plan) {
+    if (!plan || (!guaranteed && plan->lost_ > ownWork(group))) {
         return;
     }
-    reserve(board, job, group.group_, {plan->places_, board.now_ + board.limits_.stopLimit_ + stopRoundTrip});
-    board.decide("room-cleared", {{"job", job.submission_.id_.str()}, {"victims", std::to_string(plan->victims_.size())}});
+    const milliseconds wait = plan->victims_.empty() ? std::max(horizon, board.limits_.stopLimit_) : board.limits_.stopLimit_;
+    reserve(board, job, group.group_, {plan->places_, board.now_ + wait + stopRoundTrip});
+    board.decide("room-cleared",
+                 {{"job", job.submission_.id_.str()},
+                  {"victims", std::to_string(plan->victims_.size())},
+                  {"guaranteed", guaranteed ? "yes" : "no"},
+                  {"lost", std::to_string(plan->lost_)}});
     for (const RunId &victim : plan->victims_) {
         stopRun(board, victim, "preempted");
     }
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -6,6 +6,7 @@
 #include "config_replica.h"
 #include "daemon/log.h"
 #include "election.h"
+#include "forwarding.h"
 #include "job_service.h"
 #include "leader_host.h"
 #include "membership.h"
@@ -56,7 +57,9 @@
         , leader_(
               store_, limitsOf(settings), config_, [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
         , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
-        , service_(store_, config_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
+        , forwarder_(settings.nodeName_, [this] { return membership_.members().entries_; })
+        , service_(store_, config_, forwarder_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
+        , forwarded_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
         , callers_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
         , readiness_(settings.readinessAddress_, [this] { return !stopping_ && service_.ready(); })
     {
@@ -67,6 +70,7 @@
         const bool listening = leaf::try_handle_all(
             [&]() -> Result<bool> {
                 BOOST_LEAF_CHECK(listener_.start());
+                BOOST_LEAF_CHECK(forwarded_.start());
                 return true;
             },
             [](const SocketError &error) {
@@ -139,7 +143,9 @@
     AgentListener listener_;
     LeaderHost leader_;
     Election election_;
+    Forwarder forwarder_;
     JobService service_;
+    ForwardListener forwarded_;
     platform::CallersServer callers_;
     platform::ReadinessServer readiness_;
     std::atomic<bool> stopping_{false};
--- /dev/null
+++ b/src/node/forwarding.cpp
@@ -0,0 +1,141 @@
+#include "forwarding.h"
+
+#include "core/batch/framing.h"
+#include "daemon/log.h"
+
+#include <thread>
+
+#include <sys/socket.h>
+
+namespace bergamotwick::platform {
+
+template<class Archive>
+void serialize(Archive &archive, Call &call)
+{
+    archive(call.method_, call.host_, call.path_, call.key_, call.body_, call.patience_);
+}
+
+template<class Archive>
+void serialize(Archive &archive, Answer &answer)
+{
+    archive(answer.status_, answer.body_, answer.retryAfter_);
+}
+
+}
+
+namespace bergamotwick::node {
+
+namespace {
+
+using batch::milliseconds;
+
+constexpr std::size_t maxFrame = std::size_t{1} * 1024 * 1024;
+constexpr Duration connectTimeout = 200ms;
+constexpr Duration acceptWait = 1s;
+
+/// Another entry gets this long; its caller still has time to ask elsewhere then.
+constexpr milliseconds patience{900};
+
+void limitWaits(const Socket &socket)
+{
+    const timeval wait{1, 0};
+    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait));
+}
+
+Result<platform::Answer> askEntry(const Address &address, const platform::Call &call)
+{
+    BOOST_LEAF_AUTO(socket, connectTcp(address, connectTimeout));
+    limitWaits(socket);
+    if (writeFrame(socket, batch::encodeAs(batch::Kind::ForwardedCall, call)) != FrameWrite::Whole) {
+        return leaf::new_error(SocketError{errno});
+    }
+    const auto frame = readFrame(socket, maxFrame);
+    if (!frame) {
+        return leaf::new_error(SocketError{ETIMEDOUT});
+    }
+    return batch::decodeAs<platform::Answer>(batch::Kind::ForwardedAnswer, *frame);
+}
+
+}
+
+Address forwardAddress(const Address &agentAddress)
+{
+    return agentAddress.withPort(static_cast<std::uint16_t>(agentAddress.port() + 1));
+}
+
+Forwarder::Forwarder(std::string self, ListEntries list)
+    : self_(std::move(self))
+    , list_(std::move(list))
+{
+}
+
+std::optional<platform::Answer> Forwarder::forward(platform::Call call)
+{
+    auto entries = list_();
+    entries.erase(self_);
+    if (entries.empty() || call.forwarded_) {
+        return std::nullopt;
+    }
+    call.patience_ = patience;
+    const auto chosen = std::next(entries.begin(), static_cast<std::ptrdiff_t>(turn_++ % entries.size()));
+    return leaf::try_handle_all(
+        [&]() -> Result<std::optional<platform::Answer>> {
+            BOOST_LEAF_AUTO(answer, askEntry(forwardAddress(chosen->second), call));
+            logEvent(LogLevel::Info, "call-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"status", answer.status_}});
+            return std::optional<platform::Answer>(std::move(answer));
+        },
+        [&](const SocketError &error) -> std::optional<platform::Answer> {
+            logEvent(LogLevel::Warning, "call-not-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"errno", error.errno_}});
+            return std::nullopt;
+        },
+        [&](const WireError &error) -> std::optional<platform::Answer> {
+            logEvent(LogLevel::Warning, "call-not-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"error", toString(error.code_)}});
+            return std::nullopt;
+        },
+        []() -> std::optional<platform::Answer> { return std::nullopt; });
+}
+
+ForwardListener::ForwardListener(Address address, platform::CallHandler handler)
+    : address_(address)
+    , handler_(std::move(handler))
+{
+}
+
+Result<void> ForwardListener::start()
+{
+    BOOST_LEAF_AUTO(listener, listenTcp(address_));
+    listener_ = std::move(listener);
+    std::thread([this] { accept(); }).detach();
+    return {};
+}
+
+void ForwardListener::accept()
+{
+    for (;;) {
+        Socket socket = acceptTcp(listener_, acceptWait);
+        if (socket.valid()) {
+            std::thread([this, shared = std::make_shared<Socket>(std::move(socket))] { serve(*shared); }).detach();
+        }
+    }
+}
+
+void ForwardListener::serve(const Socket &socket) const
+{
+    limitWaits(socket);
+    const auto frame = readFrame(socket, maxFrame);
+    if (!frame) {
+        return;
+    }
+    leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(call, batch::decodeAs<platform::Call>(batch::Kind::ForwardedCall, *frame));
+            call.forwarded_ = true;
+            (void)writeFrame(socket, batch::encodeAs(batch::Kind::ForwardedAnswer, handler_(call)));
+            return {};
+        },
+        [](const WireError &error) { logEvent(LogLevel::Warning, "forwarded-call-unreadable", {{"error", toString(error.code_)}}); },
+        [] {});
+}
+
+}
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -31,7 +31,14 @@
 constexpr milliseconds answerMargin{150};
 constexpr milliseconds callTimeout{800};
 constexpr milliseconds retryPause{80};
-constexpr std::chrono::seconds retryLater{1};
+
+/// Comes back after most outages of the store within a caller's usual number of tries.
+constexpr std::chrono::seconds retryLater{2};
+
+/// A store that has served nothing for this long is asked a harmless question before anything is written: a write without an answer can
+/// only be answered with a timeout, for it may still be done.
+constexpr milliseconds servedLately{100};
+constexpr milliseconds probeTimeout{450};
 
 Answer refusal(int status)
 {
@@ -59,9 +66,10 @@
     }
 };
 
-JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Duration keyLimit)
+JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Duration keyLimit)
     : store_(store)
     , config_(config)
+    , forwarder_(forwarder)
     , keyLimit_(keyLimit)
 {
 }
@@ -72,6 +80,16 @@
 }
 
 Answer JobService::answer(const platform::Call &call)
+{
+    Answer answer = serve(call);
+    if (answer.status_ != statusUnavailable) {
+        return answer;
+    }
+    const auto elsewhere = forwarder_.forward(call);
+    return elsewhere && elsewhere->status_ != statusUnavailable ? *elsewhere : answer;
+}
+
+Answer JobService::serve(const platform::Call &call)
 {
     const auto view = config_.view();
     if (!view || config_.age() >= keyLimit_) {
@@ -101,7 +119,7 @@
     }
     switch (call.method_) {
     case platform::CallMethod::Submit:
-        return config.maxBodyBytes_ > 0 && call.body_.size() > config.maxBodyBytes_ ? refusal(statusTooLarge) : submit(request, call.body_);
+        return config.maxBodyBytes_ > 0 && call.body_.size() > config.maxBodyBytes_ ? refusal(statusTooLarge) : submit(request, call);
     case platform::CallMethod::Cancel:
         return cancel(request);
     case platform::CallMethod::Read:
@@ -110,12 +128,29 @@
     return state(request);
 }
 
-Answer JobService::submit(const Request &request, const std::string &body)
+std::optional<Answer> JobService::checkStore(const Request &request)
+{
+    if (bootNow() - store_.lastServed() < servedLately) {
+        return std::nullopt;
+    }
+    return leaf::try_handle_all(
+        [&]() -> Result<std::optional<Answer>> {
+            BOOST_LEAF_AUTO(job, store_.get(keys::jobs + request.id_, std::min(request.timeout(), probeTimeout)));
+            return job ? std::optional<Answer>(refusal(statusOk)) : std::nullopt;
+        },
+        [&](const StoreError &error) -> std::optional<Answer> {
+            logEvent(LogLevel::Warning, "job-refused", {{"job", request.id_}, {"reason", "store-away"}, {"error", toString(error.code_)}});
+            return refusal(statusUnavailable);
+        },
+        []() -> std::optional<Answer> { return refusal(statusUnavailable); });
+}
+
+Answer JobService::submit(const Request &request, const platform::Call &call)
 {
     batch::Submission submission;
     const bool readable = leaf::try_handle_all(
         [&]() -> Result<bool> {
-            BOOST_LEAF_ASSIGN(submission, platform::decodeJob(body));
+            BOOST_LEAF_ASSIGN(submission, platform::decodeJob(call.body_));
             return true;
         },
         [&](const DocumentError &error) {
@@ -126,6 +161,9 @@
     if (!readable) {
         return refusal(statusBadRequest);
     }
+    if (const auto known = checkStore(request)) {
+        return *known;
+    }
     submission.id_ = JobId(request.id_);
     submission.queue_ = request.queue_->key();
     submission.workspace_ = request.workspace_;
@@ -154,6 +192,10 @@
         if (status != 0) {
             return refusal(status);
         }
+        const auto elsewhere = forwarder_.forward(call);
+        if (elsewhere && elsewhere->status_ == statusOk) {
+            return *elsewhere;
+        }
         std::this_thread::sleep_for(retryPause);
     } while (request.left().count() > 0);
     return refusal(statusTimeout);
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -2,11 +2,10 @@
 
 #include "callers_server.h"
 #include "config_replica.h"
-#include "core/batch/job.h"
+#include "forwarding.h"
 #include "store_client.h"
 
-#include <map>
-#include <mutex>
+#include <optional>
 
 namespace bergamotwick::node {
 
@@ -17,7 +16,7 @@
 {
 public:
     /// A configuration older than \p keyLimit must not admit anybody: a key may have been taken away since.
-    JobService(platform::StoreClient &store, const ConfigReplica &config, Duration keyLimit);
+    JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Duration keyLimit);
 
     [[nodiscard]] platform::Answer answer(const platform::Call &call);
 
@@ -27,13 +26,16 @@
 private:
     struct Request;
 
-    [[nodiscard]] platform::Answer submit(const Request &request, const std::string &body);
+    [[nodiscard]] platform::Answer serve(const platform::Call &call);
+    [[nodiscard]] std::optional<platform::Answer> checkStore(const Request &request);
+    [[nodiscard]] platform::Answer submit(const Request &request, const platform::Call &call);
     [[nodiscard]] platform::Answer cancel(const Request &request);
     [[nodiscard]] platform::Answer state(const Request &request);
     [[nodiscard]] platform::Answer pending(const Request &request);
 
     platform::StoreClient &store_;
     const ConfigReplica &config_;
+    Forwarder &forwarder_;
     Duration keyLimit_;
 };
 
