--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -3,6 +3,7 @@
 #include "core/batch/ledger.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bergamotwick::batch {
 
@@ -323,6 +324,52 @@
     return executor;
 }
 
+enum class StuckReason : std::uint8_t {
+    Standstill,
+    Draining,
+};
+
+/// Names all that ends together: a task's run, or a gang's.
+using SharedRun = std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+
+SharedRun sharedRunOf(const Board &board, const RunId &run)
+{
+    const bool gang = board.jobs_.at(run.task_.job_).submission_.steps_[run.task_.step_].gang_;
+    return {run.task_.job_, run.task_.occurrence_, run.task_.step_, gang ? 0 : run.task_.index_, run.run_};
+}
+
+/// Returns when each run, or any member of a gang's, last made progress: a member that is ready waits for the slowest.
+std::map<SharedRun, Instant> latestProgress(const Board &board)
+{
+    std::map<SharedRun, Instant> latest;
+    for (const auto &[id, run] : board.runs_) {
+        Instant &at = latest[sharedRunOf(board, id)];
+        at = std::max(at, run.progressAt_);
+    }
+    return latest;
+}
+
+std::optional<StuckReason> whyStuck(const Board &board, const Run &run, const std::map<SharedRun, Instant> &progress)
+{
+    const auto executor = board.executors_.find(run.place_.executor_);
+    if (run.phase_ != RunPhase::Running || executor == board.executors_.end() || board.now_ - executor->second.lastReport_ > silenceLimit) {
+        return std::nullopt;
+    }
+    constexpr std::int32_t ready = 99; ///< percent of a gang's member that waits for the others
+    const Step &step = board.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_];
+    const bool standsStill = board.now_ - progress.at(sharedRunOf(board, run.id_)) > standstill;
+    if (standsStill && run.percent_ < ready && !step.longRunning_ && !step.fills_) {
+        return StuckReason::Standstill;
+    }
+    const ExecutorFacts &facts = executor->second.facts_;
+    if (!facts.draining_ || step.longRunning_) {
+        return std::nullopt;
+    }
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
+    const milliseconds left = run.percent_ > 3 ? elapsed * (100 - run.percent_) / run.percent_ : step.estimate_;
+    return left > facts.remaining_ ? std::optional(StuckReason::Draining) : std::nullopt;
+}
+
 /// Returns whether \p report says less than what has been heard of this agent or executor before.
 bool isOutdated(const Board &board, const Report &report)
 {
@@ -447,39 +494,25 @@
 
 void moveStuckRuns(Board &board)
 {
-    std::vector<std::pair<RunId, const char *>> stuck;
+    const auto progress = latestProgress(board);
+    std::vector<std::pair<RunId, StuckReason>> stuck;
     for (const auto &[id, run] : board.runs_) {
-        const auto executor = board.executors_.find(run.place_.executor_);
-        if (run.phase_ != RunPhase::Running || executor == board.executors_.end() || board.now_ - executor->second.lastReport_ > silenceLimit) {
-            continue;
-        }
-        const Job &job = board.jobs_.at(id.task_.job_);
-        const Step &step = job.submission_.steps_[id.task_.step_];
-        if (!step.longRunning_ && !step.fills_ && board.now_ - run.progressAt_ > standstill) {
-            stuck.emplace_back(id, "standstill");
-            continue;
-        }
-        const ExecutorFacts &facts = executor->second.facts_;
-        if (facts.draining_ && !step.longRunning_) {
-            const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
-            const milliseconds left = run.percent_ > 3 ? elapsed * (100 - run.percent_) / run.percent_ : step.estimate_;
-            if (left > facts.remaining_) {
-                stuck.emplace_back(id, "draining");
-            }
+        if (const auto reason = whyStuck(board, run, progress)) {
+            stuck.emplace_back(id, *reason);
         }
     }
     for (const auto &[id, reason] : stuck) {
         const auto found = board.runs_.find(id);
-        if (found == board.runs_.end()) {
+        if (found == board.runs_.end() || found->second.phase_ != RunPhase::Running) {
             continue; // went with another member of its gang
         }
         const Run &run = found->second;
         Job &job = board.jobs_.at(id.task_.job_);
-        if (std::string_view(reason) == "standstill") {
+        if (reason == StuckReason::Standstill) {
             shun(board, job, *indexOf(job.submission_, id.task_), run.place_.executor_);
             noteFailure(board, board.executors_.at(run.place_.executor_), job.submission_.id_);
         }
-        stopRun(board, id, reason);
+        stopRun(board, id, reason == StuckReason::Standstill ? "standstill" : "draining");
     }
 }
 
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -134,7 +134,9 @@
             (void)writeFrame(socket, batch::encodeAs(batch::Kind::ForwardedAnswer, handler_(call)));
             return {};
         },
-        [](const WireError &error) { logEvent(LogLevel::Warning, "forwarded-call-unreadable", {{"error", toString(error.code_)}}); },
+        [](const WireError &error) {
+            logEvent(LogLevel::Warning, "forwarded-call-unreadable", {{"error", toString(error.code_)}});
+        },
         [] {});
 }
 
