--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -26,6 +26,9 @@
 /// Nothing listened at the executor's address this many times in a row: it has crashed, and a crashed executor runs nothing.
 constexpr int refusalsOfDead = 2;
 
+/// An executor that leaves this many calls in a row without an answer gets no new work.
+constexpr int failuresOfUnwell = 2;
+
 }
 
 AgentCore::AgentCore(std::string name, milliseconds stopLimit)
@@ -233,6 +236,7 @@
 void AgentCore::take(const HoldAnswered &answer)
 {
     refusals_ = 0;
+    failures_ = 0;
     lifeConfirmed_ = answer.born_ == executor_.life_.born_;
     if (answer.born_ != executor_.life_.born_ || executor_.life_.executor_.empty()) {
         return; // its heartbeat tells who it is now
@@ -279,6 +283,8 @@
 {
     refusals_ = failure.refused_ ? refusals_ + 1 : 0;
     lifeConfirmed_ = false;
+    reportDue_ = reportDue_ || failures_ + 1 == failuresOfUnwell;
+    ++failures_;
     if (executor_.life_.executor_.empty() || epoch_ == 0) {
         return;
     }
@@ -291,7 +297,8 @@
 
 void AgentCore::declareEmpty(const char *reason)
 {
-    if (listsValid_ && running_.empty() && ended_.empty() && orders_.empty()) {
+    const auto isOpen = [](const auto &entry) { return entry.second.phase_ != OrderPhase::Refused && entry.second.phase_ != OrderPhase::Gone; };
+    if (listsValid_ && running_.empty() && ended_.empty() && std::none_of(orders_.begin(), orders_.end(), isOpen)) {
         return;
     }
     log("executor-empty", {{"executor", executor_.life_.executor_.str()}, {"reason", reason}});
@@ -299,7 +306,8 @@
     running_.clear();
     ended_.clear();
     for (auto &[run, order] : orders_) {
-        order.phase_ = order.phase_ == OrderPhase::Starting ? OrderPhase::Refused : OrderPhase::Gone;
+        const bool neverRan = order.phase_ == OrderPhase::Starting || order.phase_ == OrderPhase::Refused;
+        order.phase_ = neverRan ? OrderPhase::Refused : OrderPhase::Gone;
         order.since_ = now_;
     }
     reportDue_ = true;
@@ -321,6 +329,7 @@
     report.sequence_ = ++sequence_;
     report.sentAt_ = now_.time_since_epoch();
     report.epoch_ = epoch_;
+    report.answers_ = failures_ < failuresOfUnwell;
     report.listsValid_ = listsValid_;
     report.executor_ = executor_;
     report.running_ = running_;
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -177,7 +177,8 @@
     ExecutorTime clock_{0}; ///< at clockAt_
     Instant clockAt_{};
     Instant lastLeaseEnd_{}; ///< by when every lease given so far has ended, whatever the executor's clock
-    int refusals_ = 0;
+    int refusals_ = 0; ///< calls in a row that found nobody listening
+    int failures_ = 0; ///< calls in a row without a usable answer
     bool listsValid_ = false;
     std::int64_t listsEpoch_ = 0;
     std::vector<RunningTask> running_;
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -70,6 +70,7 @@
     std::string agent_;
     bool reported_ = false; ///< to this leader
     bool listed_ = false; ///< its present life has told this leader what it has at work
+    bool answers_ = true; ///< to its agent
     Instant lastReport_{};
     Instant lastPermit_{}; ///< when a directive that lets leases be extended was last sent
     std::set<RunId> runs_;
--- a/src/core/batch/ledger.cpp
+++ b/src/core/batch/ledger.cpp
@@ -71,7 +71,7 @@
 bool isUsable(const Board &board, const Executor &executor, const ServiceId &service)
 {
     const ExecutorFacts &facts = executor.facts_;
-    return executor.listed_ && executor.orphans_.empty() && facts.service_ == service && !facts.draining_ && !facts.left_
+    return executor.listed_ && executor.answers_ && executor.orphans_.empty() && facts.service_ == service && !facts.draining_ && !facts.left_
         && board.now_ - executor.lastReport_ < silenceLimit && executor.asideUntil_ <= board.now_ && !board.evacuated_.contains(facts.dataCentre_);
 }
 
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -93,6 +93,7 @@
     std::uint64_t sequence_ = 0;
     Duration sentAt_{}; ///< on the agent's clock, since its boot
     std::int64_t epoch_ = 0; ///< fencing token under which the lists were read
+    bool answers_ = false; ///< the executor has answered its agent's last calls
     bool listsValid_ = false; ///< the lists come from the named life under epoch_
     ExecutorFacts executor_;
     std::vector<RunningTask> running_;
@@ -103,7 +104,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(agent_, sequence_, sentAt_, epoch_, listsValid_, executor_, running_, starting_, ended_, settled_);
+        archive(agent_, sequence_, sentAt_, epoch_, answers_, listsValid_, executor_, running_, starting_, ended_, settled_);
     }
 };
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -246,9 +246,6 @@
     if (found == board.runs_.end() || found->second.place_ != executor.facts_.life_) {
         return;
     }
-    if (order.outcome_ == OrderOutcome::StopConfirmed && found->second.phase_ != RunPhase::Stopping) {
-        return;
-    }
     if (order.outcome_ == OrderOutcome::Refused) {
         const auto job = board.jobs_.find(order.run_.task_.job_);
         shun(board, job->second, *indexOf(job->second.submission_, order.run_.task_), executor.facts_.life_.executor_);
@@ -319,6 +316,7 @@
     }
     executor.facts_ = report.executor_;
     executor.agent_ = report.agent_;
+    executor.answers_ = report.answers_;
     executor.reported_ = true;
     executor.lastReport_ = board.now_;
     return executor;
--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -53,6 +53,7 @@
         Instant failingUntil_{};
         Instant hangingUntil_{};
         bool draining_ = false;
+        bool gone_ = false;
         milliseconds remaining_{0};
         int names_ = 0;
         std::int64_t lastBorn_ = 0;
@@ -276,6 +277,7 @@
         facts.labels_ = {"kind", "rack-" + std::to_string(index / 3)};
         judge_.executorUp(facts);
         host.draining_ = false;
+        host.gone_ = false;
         host.executor_ = std::make_unique<ExecutorStandIn>(
             facts,
             now_,
@@ -294,7 +296,7 @@
         batch::HeartbeatSeen seen{host.executor_->facts(), ++host.beat_};
         seen.executor_.draining_ = host.draining_;
         seen.executor_.remaining_ = host.remaining_;
-        if (host.silentUntil_ <= now_) {
+        if (host.silentUntil_ <= now_ && !host.gone_) {
             stepAgent(index, {seen});
         }
     }
@@ -354,10 +356,17 @@
     void call(std::size_t index, const Call &order)
     {
         const Host &host = hosts_[index];
+        if (host.gone_) {
+            at(now_ + netLatency, [this, index, order, life = host.life_] { tell(index, life, answerFor(order, batch::OrderAnswer::Unknown)); });
+            return;
+        }
         const bool late = chance(faults_->lateOrders_);
         if (host.silentUntil_ > now_ || late) {
             if (late) {
                 at(now_ + between(2'000, 6'000), [this, index, order] {
+                    if (hosts_[index].gone_) {
+                        return;
+                    }
                     lateOrder_ = true;
                     (void)carryOut(index, order);
                     lateOrder_ = false;
@@ -408,6 +417,10 @@
     void hold(std::size_t index)
     {
         Host &host = hosts_[index];
+        if (host.gone_) {
+            stepAgent(index, {batch::HoldFailed{true}});
+            return;
+        }
         host.executor_->advance(now_);
         if (host.silentUntil_ > now_) {
             stepAgent(index, {batch::HoldFailed{false}});
@@ -514,6 +527,12 @@
     impl_->bringUp(host, sameName);
 }
 
+void Cluster::removeExecutor(std::size_t host)
+{
+    impl_->judge_.executorDown(impl_->hosts_[host].executor_->facts().life_);
+    impl_->hosts_[host].gone_ = true;
+}
+
 void Cluster::drain(std::size_t host, milliseconds remaining)
 {
     impl_->hosts_[host].draining_ = true;
--- a/tests/batch/cluster.h
+++ b/tests/batch/cluster.h
@@ -55,6 +55,7 @@
     void silenceExecutor(std::size_t host, Duration length); ///< its agent gets no answers
     void restartAgent(std::size_t host);
     void restartExecutor(std::size_t host, bool sameName);
+    void removeExecutor(std::size_t host); ///< nothing listens at its address until it is restarted
     void drain(std::size_t host, batch::milliseconds remaining);
     void failAllOn(std::size_t host, Duration length);
     void hangAllOn(std::size_t host, Duration length);
--- a/tests/random/batch_faults_test.cpp
+++ b/tests/random/batch_faults_test.cpp
@@ -35,7 +35,7 @@
 {
     const auto host = *rc::gen::inRange<std::size_t>(0, hosts);
     const Duration length = batch::milliseconds(*rc::gen::inRange(200, 9'000));
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
     case 0:
         cluster.cutAgent(host, length);
         break;
@@ -70,6 +70,9 @@
     case 10:
         cluster.faults_.lateOrders_ = 0.2;
         break;
+    case 11:
+        cluster.removeExecutor(host);
+        break;
     default:
         cluster.drain(host, 2s);
         break;
--- a/tests/unit/batch_cluster_test.cpp
+++ b/tests/unit/batch_cluster_test.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(longCutEndsInASecondRunOnlyAfterTheLease);
     CPPUNIT_TEST(restartedAgentFindsItsTasks);
     CPPUNIT_TEST(executorUnderANewNameSettlesItsFormerLife);
+    CPPUNIT_TEST(goneExecutorsTasksMoveOn);
+    CPPUNIT_TEST(goneExecutorGetsNoWork);
     CPPUNIT_TEST(lateOrdersRunNothingTwice);
     CPPUNIT_TEST(lateOrdersAreHarmfulWithoutFences);
     CPPUNIT_TEST(storeOutageCostsNoRunningWork);
@@ -228,6 +230,30 @@
         expectNoBreach(cluster);
     }
 
+    void goneExecutorsTasksMoveOn()
+    {
+        Cluster cluster(2, 1);
+        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 2s));
+        cluster.run(500ms);
+        cluster.removeExecutor(0);
+        cluster.run(6s);
+        expectCompleted(cluster, first);
+        expectNoBreach(cluster);
+    }
+
+    void goneExecutorGetsNoWork()
+    {
+        Cluster cluster(2, 1);
+        cluster.removeExecutor(0);
+        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 1s));
+        cluster.run(1s);
+        cluster.submit(jobOf("second", 2, {1'000, 1'000, 8}, 1s));
+        cluster.run(6s);
+        expectCompleted(cluster, first);
+        expectCompleted(cluster, JobId("second"));
+        expectNoBreach(cluster);
+    }
+
     void lateOrdersRunNothingTwice()
     {
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -38,6 +38,7 @@
             report.agent_ = "host-" + std::to_string(index);
             report.epoch_ = 7;
             report.listsValid_ = true;
+            report.answers_ = true;
             report.executor_.life_ = {ExecutorId("x" + std::to_string(index)), 1, report.agent_};
             report.executor_.service_ = ServiceId("service");
             report.executor_.dataCentre_ = DataCentreId("dc");
