Soak real processes, serve metrics, test the adapter

Cause: the new path had no proof with real processes, no metrics and no test of its codecs. bergamotwick-soak: entries and agents as processes, store and executors as stand-ins over HTTP, a proxy on each link to store and executor, signals; a seed draws overlapping faults; it judges what callers and executors see. Ruled out as its own fault while building it: a SIGTERM to a frozen process was waited for without an end. Not covered: the link between agent and leader has no proxy, hosts' clocks don't misbehave.

--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,195 @@
+#include "callers.h"
+
+#include "job_codec.h"
+
+#include <array>
+#include <random>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace bergamotwick::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int callerThreads = 3;
+constexpr int tries = 5;
+constexpr auto betweenJobs = 350ms;
+constexpr auto betweenTries = 300ms;
+constexpr auto patience = 2'500ms;
+constexpr std::size_t idDigits = 16;
+
+std::string idOf(int caller, int number)
+{
+    std::string digits = std::to_string(caller * 100'000 + number + 1);
+    return std::string(idDigits - digits.size(), '0') + digits;
+}
+
+Json randomJob(std::mt19937_64 &random)
+{
+    const auto pick = [&random](int least, int most) { return std::uniform_int_distribution<int>(least, most)(random); };
+    Json step = {{"count", pick(1, 4)}, {"cpu", 4'000}, {"mem_mb", 9'000}, {"estimate_ms", 800}};
+    const int accelerators = std::array<int, 4>{0, 1, 2, 4}[static_cast<std::size_t>(pick(0, 3))];
+    if (accelerators > 0) {
+        step["gpu"] = accelerators;
+    }
+    if (pick(0, 2) == 0) {
+        step["gang"] = true;
+    }
+    if (pick(0, 1) == 0) {
+        step["checkpoints"] = true;
+    }
+    Json steps = Json::array({step});
+    if (pick(0, 3) == 0) {
+        step["after"] = Json::array({0});
+        step.erase("gang");
+        steps.push_back(step);
+    }
+    return {{"spec", std::to_string(pick(200, 2'500))}, {"steps", std::move(steps)}};
+}
+
+}
+
+Callers::Callers(std::vector<int> ports, SharedJudge &judge, std::uint64_t seed)
+    : ports_(std::move(ports))
+    , judge_(judge)
+{
+    for (int number = 0; number < callerThreads; ++number) {
+        threads_.emplace_back([this, number, seed] { call(number, seed * 31 + static_cast<std::uint64_t>(number)); });
+    }
+}
+
+Callers::~Callers()
+{
+    stop();
+}
+
+void Callers::stop()
+{
+    stopping_ = true;
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+int Callers::send(const std::string &method, const std::string &path, const std::string &body, std::size_t entry, std::string *answer) const
+{
+    httplib::Client client("127.0.0.1", ports_[entry % ports_.size()]);
+    client.set_connection_timeout(std::chrono::milliseconds(500));
+    client.set_read_timeout(patience);
+    httplib::Request request;
+    request.method = method;
+    request.path = path;
+    request.set_header("Host", "h");
+    request.set_header("X-Deadline-Ms", std::to_string(std::chrono::milliseconds(patience).count()));
+    request.body = body;
+    const auto result = client.send(request);
+    if (result && answer != nullptr) {
+        *answer = result->body;
+    }
+    return result ? result->status : 0;
+}
+
+void Callers::call(int number, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    for (int job = 0; !stopping_; ++job) {
+        const std::string id = idOf(number, job);
+        const std::string path = (random() % 3 == 0 ? "/u/" : "/n/") + id;
+        const std::string body = randomJob(random).dump();
+        batch::Submission submission = *platform::decodeJob(body);
+        submission.id_ = JobId(id);
+        {
+            const std::lock_guard lock(judge_.mutex_);
+            judge_.judge_.submitted(submission, 3);
+        }
+        bool doubt = false;
+        bool accepted = false;
+        for (int attempt = 0; attempt < tries && !accepted; ++attempt) {
+            const int status = send("POST", path, body, random(), nullptr);
+            accepted = status == 200;
+            doubt = doubt || (status != 200 && status != 503 && status != 429);
+            if (!accepted) {
+                std::this_thread::sleep_for(betweenTries);
+            }
+        }
+        Handed handed = accepted ? Handed::Accepted : doubt ? Handed::InDoubt : Handed::Refused;
+        if (accepted && random() % 8 == 0 && send("DELETE", path, "", random(), nullptr) == 200) {
+            handed = Handed::Cancelled;
+            const std::lock_guard lock(judge_.mutex_);
+            judge_.judge_.cancelled(JobId(id), soakNow());
+        }
+        {
+            const std::lock_guard lock(mutex_);
+            jobs_[path] = handed;
+        }
+        std::this_thread::sleep_for(betweenJobs);
+    }
+}
+
+std::vector<std::string> Callers::unfinished()
+{
+    std::map<std::string, Handed> jobs;
+    {
+        const std::lock_guard lock(mutex_);
+        jobs = jobs_;
+    }
+    std::vector<std::string> open;
+    std::size_t entry = 0;
+    for (const auto &[path, handed] : jobs) {
+        if (handed != Handed::Accepted || finals_.contains(path)) {
+            continue;
+        }
+        std::string body;
+        const int status = send("GET", path, "", entry++, &body);
+        const Json json = Json::parse(body, nullptr, false);
+        const std::string state = json.is_object() ? json.value("state", "") : "";
+        if (status == 410) {
+            breaches_.push_back("LOST: " + path + " was accepted and isn't known");
+            finals_[path] = "lost";
+        } else if (state == "completed" || state == "failed") {
+            finals_[path] = state;
+        } else if (state == "cancelled") {
+            breaches_.push_back("LOST: " + path + " is cancelled though nobody asked for it");
+            finals_[path] = state;
+        } else {
+            open.push_back(path + " " + std::to_string(status) + " " + state);
+        }
+    }
+    return open;
+}
+
+std::vector<std::string> Callers::breaches()
+{
+    const std::lock_guard lock(mutex_);
+    const std::lock_guard judging(judge_.mutex_);
+    std::vector<std::string> found = breaches_;
+    for (const auto &[path, handed] : jobs_) {
+        const JobId id(path.substr(path.size() - idDigits));
+        if (handed == Handed::Refused && judge_.judge_.starts(id) > 0) {
+            found.push_back("REFUSED: " + path + " was started though every try was refused");
+        }
+    }
+    for (const auto &[path, state] : finals_) {
+        if (state == "completed") {
+            batch::Progress progress;
+            progress.id_ = JobId(path.substr(path.size() - idDigits));
+            progress.state_ = batch::JobState::Completed;
+            judge_.judge_.stored(progress);
+        }
+    }
+    const auto &judged = judge_.judge_.breaches();
+    found.insert(found.end(), judged.begin(), judged.end());
+    return found;
+}
+
+std::size_t Callers::accepted() const
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto &job) { return job.second == Handed::Accepted; }));
+}
+
+}
--- /dev/null
+++ b/soak/fleet.cpp
@@ -0,0 +1,125 @@
+#include "fleet.h"
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace bergamotwick::soak {
+
+namespace {
+
+constexpr const char *commonSettings = "zone=dc\nip=127.0.0.1\nplatform.ttl_min_ms=1000\nbounds.stop_ms=200\nbounds.gang_timeout_ms=3000\n"
+                                       "bounds.revoke_ms=5000\nbounds.status_s=120\nbounds.spread_factor=3\n";
+
+constexpr const char *operatorsConfig = R"({"version":1,"routes":[
+{"name":"urgent","host":"h","prefix":"/u/","service":"service","priority":0,"max_attempts":3,"stretch":3,"target_latency_ms":1000,"public":true},
+{"name":"usual","host":"h","prefix":"/n/","service":"service","priority":1,"max_attempts":3,"stretch":3,"target_latency_ms":1000,"public":true}],
+"services":[{"name":"service"}],"tenants":[],"limits":{"max_body_bytes":262144}})";
+
+/// From SIGTERM to SIGKILL, as the platform has it.
+constexpr std::chrono::seconds grace{6};
+
+std::string address(int port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+}
+
+Node::Node(std::string program,
+           std::string role,
+           std::string name,
+           const std::string &folder,
+           const std::string &settings,
+           const StoreStandIn &store,
+           const ExecutorServer *executor)
+    : program_(std::move(program))
+    , role_(std::move(role))
+    , name_(std::move(name))
+    , settingsFile_(folder + "/" + name_ + ".conf")
+    , logFile_(folder + "/" + name_ + ".log")
+    , storeLink_(store.address())
+{
+    std::ofstream file(settingsFile_);
+    file << commonSettings << settings << "node_name=" << name_ << "\nplatform.address=" << storeLink_.address() << "\n";
+    if (executor != nullptr) {
+        executorLink_ = std::make_unique<Proxy>(executor->address());
+        file << "app=" << executorLink_->address() << "\nservice=service\n";
+    }
+}
+
+Node::~Node()
+{
+    end(true);
+}
+
+void Node::start()
+{
+    if (pid_ > 0) {
+        return;
+    }
+    pid_ = ::fork();
+    if (pid_ != 0) {
+        return;
+    }
+    ::setenv("BERGAMOTWICK_SETTINGS", settingsFile_.c_str(), 1);
+    const int log = ::open(logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    ::execl(program_.c_str(), program_.c_str(), role_.c_str(), nullptr);
+    ::_exit(127);
+}
+
+void Node::signal(int number) const
+{
+    if (pid_ > 0) {
+        ::kill(pid_, number);
+    }
+}
+
+void Node::end(bool kill)
+{
+    if (pid_ <= 0) {
+        return;
+    }
+    ::kill(pid_, SIGCONT); // a frozen process can't end
+    const auto until = std::chrono::steady_clock::now() + (kill ? 0s : grace);
+    while (::waitpid(pid_, nullptr, WNOHANG) == 0) {
+        if (std::chrono::steady_clock::now() >= until) {
+            ::kill(pid_, SIGKILL);
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    pid_ = -1;
+}
+
+Fleet::Fleet(const std::string &program, const std::string &folder, std::uint64_t seed, int entries, int executors)
+    : store_(seed)
+{
+    store_.put("op/config", operatorsConfig);
+    for (int number = 0; number < entries; ++number) {
+        callersPorts_.push_back(freePort());
+        int internal = freePort();
+        const std::string settings = "listen.front=" + address(callersPorts_.back()) + "\nlisten.readiness=" + address(freePort())
+            + "\ninternal_ports=" + std::to_string(internal) + "," + std::to_string(internal + 3) + "\n";
+        entries_.emplace_back(program, "entry", "entry-" + std::to_string(number), folder, settings, store_, nullptr);
+    }
+    for (int number = 0; number < executors; ++number) {
+        const int control = freePort();
+        executors_.emplace_back(number, control, judge_);
+        const std::string settings = "listen.control=" + address(control) + "\ninternal_ports=1,2\n";
+        agents_.emplace_back(program, "agent", "agent-" + std::to_string(number), folder, settings, store_, &executors_.back());
+    }
+    for (Node &entry : entries_) {
+        entry.start();
+    }
+    for (Node &agent : agents_) {
+        agent.start();
+    }
+}
+
+}
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -68,6 +68,7 @@
 
     int run()
     {
+        serveMetrics(settings_.ip_, metrics_);
         std::thread([this] { step(); }).detach();
         std::thread([this] { hold(); }).detach();
         std::thread([this] { membership_.run(); }).detach();
@@ -133,8 +134,9 @@
         }
     }
 
-    static void carryOut(batch::AgentLog &&line)
+    void carryOut(batch::AgentLog &&line)
     {
+        metrics_.count("decisions_total", "event=\"" + line.event_ + "\"");
         logEvent(LogLevel::Info, line.event_, line.fields_);
     }
 
@@ -175,6 +177,7 @@
         platform::ExecutorClient client(settings_.executorAddress_);
         for (;;) {
             for (auto call = calls_.takeOne(); call; call = calls_.takeOne()) {
+                const Instant began = bootNow();
                 if (const auto *start = std::get_if<batch::CallStart>(&*call)) {
                     const auto result = client.start(start->life_, start->order_, start->leaseEnd_, start->epoch_);
                     inputs_.put(batch::StartAnswered{start->order_.run_, answerOf(result.reply_), result.reason_});
@@ -182,6 +185,7 @@
                     const auto result = client.stop(stop->life_, stop->run_, stop->epoch_);
                     inputs_.put(batch::StopAnswered{stop->run_, answerOf(result.reply_)});
                 }
+                metrics_.observe("order_seconds", bootNow() - began);
             }
         }
     }
@@ -264,6 +268,7 @@
     }
 
     platform::NodeSettings settings_;
+    Metrics metrics_;
     platform::StoreClient store_;
     std::mutex coreMutex_;
     batch::AgentCore core_;
--- a/src/node/config_replica.cpp
+++ b/src/node/config_replica.cpp
@@ -3,7 +3,7 @@
 #include "clock.h"
 #include "config_codec.h"
 #include "daemon/log.h"
-#include "keys.h"
+#include "operator_keys.h"
 
 #include <thread>
 
@@ -60,7 +60,7 @@
     const Instant began = bootNow();
     return leaf::try_handle_all(
         [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(range, store_.range(keys::operators, readTimeout));
+            BOOST_LEAF_AUTO(range, store_.range(platform::operator_keys::all, readTimeout));
             OperatorView next;
             if (const auto now = view()) {
                 next.config_ = now->config_;
@@ -84,7 +84,7 @@
     const Instant began = bootNow();
     return leaf::try_handle_all(
         [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(changes, store_.watch(keys::operators, revision_, watchWait));
+            BOOST_LEAF_AUTO(changes, store_.watch(platform::operator_keys::all, revision_, watchWait));
             if (changes.historyLost_) {
                 logEvent(LogLevel::Info, "operators-history-lost", {{"revision", revision_}});
                 return false;
@@ -110,8 +110,8 @@
 void ConfigReplica::apply(const std::vector<platform::Item> &items, OperatorView &view)
 {
     for (const platform::Item &item : items) {
-        if (item.key_.starts_with(keys::evacuations)) {
-            const DataCentreId dataCentre(item.key_.substr(keys::evacuations.size()));
+        if (item.key_.starts_with(platform::operator_keys::evacuations)) {
+            const DataCentreId dataCentre(item.key_.substr(platform::operator_keys::evacuations.size()));
             if (item.removed_) {
                 view.evacuated_.erase(dataCentre);
             } else {
@@ -119,7 +119,7 @@
             }
             continue;
         }
-        if (item.key_ != keys::config || item.removed_) {
+        if (item.key_ != platform::operator_keys::config || item.removed_) {
             continue;
         }
         leaf::try_handle_all(
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -54,14 +54,19 @@
               agentAddress(settings),
               [this](batch::Report report) { leader_.input(std::move(report)); },
               [this] { return membership_.connected() ? membership_.members().leader_ : std::nullopt; })
-        , leader_(
-              store_, limitsOf(settings), config_, [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
+        , leader_(store_,
+                  metrics_,
+                  limitsOf(settings),
+                  config_,
+                  [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
         , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
         , forwarder_(settings.nodeName_, [this] { return membership_.members().entries_; })
-        , service_(store_, config_, forwarder_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
+        , service_(store_, config_, forwarder_, metrics_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
         , forwarded_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
         , callers_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
-        , readiness_(settings.readinessAddress_, [this] { return !stopping_ && service_.ready(); })
+        , readiness_(settings.readinessAddress_, platform::readinessPath, [this] {
+            return platform::Answer{!stopping_ && service_.ready() ? 200 : 503, ""};
+        })
     {
     }
 
@@ -81,6 +86,7 @@
         if (!listening) {
             return 1;
         }
+        serveMetrics(settings_.ip_, metrics_);
         std::thread([this] { config_.run(); }).detach();
         std::thread([this] { membership_.run(); }).detach();
         std::thread registration([this] { registration_.run(); });
@@ -136,6 +142,7 @@
     }
 
     platform::NodeSettings settings_;
+    Metrics metrics_;
     platform::StoreClient store_;
     ConfigReplica config_;
     Membership membership_;
@@ -147,7 +154,7 @@
     JobService service_;
     ForwardListener forwarded_;
     platform::CallersServer callers_;
-    platform::ReadinessServer readiness_;
+    platform::PageServer readiness_;
     std::atomic<bool> stopping_{false};
 };
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -40,6 +40,19 @@
 constexpr milliseconds servedLately{100};
 constexpr milliseconds probeTimeout{450};
 
+const char *wordOf(platform::CallMethod method)
+{
+    switch (method) {
+    case platform::CallMethod::Submit:
+        return "submit";
+    case platform::CallMethod::Cancel:
+        return "cancel";
+    case platform::CallMethod::Read:
+        break;
+    }
+    return "read";
+}
+
 Answer refusal(int status)
 {
     return {status, "{}", status == statusUnavailable ? retryLater : std::chrono::seconds(0)};
@@ -66,10 +79,11 @@
     }
 };
 
-JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Duration keyLimit)
+JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Metrics &metrics, Duration keyLimit)
     : store_(store)
     , config_(config)
     , forwarder_(forwarder)
+    , metrics_(metrics)
     , keyLimit_(keyLimit)
 {
 }
@@ -80,6 +94,16 @@
 }
 
 Answer JobService::answer(const platform::Call &call)
+{
+    const Instant began = bootNow();
+    Answer answer = serveOrForward(call);
+    const std::string method = std::string("method=\"") + wordOf(call.method_) + "\"";
+    metrics_.count("calls_total", method + ",status=\"" + std::to_string(answer.status_) + "\"");
+    metrics_.observe("call_seconds", bootNow() - began, method);
+    return answer;
+}
+
+Answer JobService::serveOrForward(const platform::Call &call)
 {
     Answer answer = serve(call);
     if (answer.status_ != statusUnavailable) {
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -3,6 +3,7 @@
 #include "callers_server.h"
 #include "config_replica.h"
 #include "forwarding.h"
+#include "metrics/metrics.h"
 #include "store_client.h"
 
 #include <optional>
@@ -16,7 +17,7 @@
 {
 public:
     /// A configuration older than \p keyLimit must not admit anybody: a key may have been taken away since.
-    JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Duration keyLimit);
+    JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Metrics &metrics, Duration keyLimit);
 
     [[nodiscard]] platform::Answer answer(const platform::Call &call);
 
@@ -26,6 +27,7 @@
 private:
     struct Request;
 
+    [[nodiscard]] platform::Answer serveOrForward(const platform::Call &call);
     [[nodiscard]] platform::Answer serve(const platform::Call &call);
     [[nodiscard]] std::optional<platform::Answer> checkStore(const Request &request);
     [[nodiscard]] platform::Answer submit(const Request &request, const platform::Call &call);
@@ -36,6 +38,7 @@
     platform::StoreClient &store_;
     const ConfigReplica &config_;
     Forwarder &forwarder_;
+    Metrics &metrics_;
     Duration keyLimit_;
 };
 
--- a/src/node/keys.h
+++ b/src/node/keys.h
@@ -18,9 +18,4 @@
 inline const std::string cancels = "b/in/cancel/";
 inline const std::string progress = "b/state/";
 
-/// What operators write.
-inline const std::string operators = "op/";
-inline const std::string config = "op/config";
-inline const std::string evacuations = "op/evacuate/";
-
 }
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -201,6 +201,7 @@
                 host_.send_(directive->agent_, directive->directive_);
             } else if (const auto *decision = std::get_if<batch::Decision>(&output)) {
                 logEvent(LogLevel::Info, decision->event_, decision->fields_);
+                host_.metrics_.count("decisions_total", "event=\"" + decision->event_ + "\"");
             }
         }
     }
@@ -232,6 +233,7 @@
 
     void write(const batch::Commit &commit)
     {
+        const Instant began = bootNow();
         batch::LeaderInput answer = leaf::try_handle_all(
             [&]() -> Result<batch::LeaderInput> {
                 BOOST_LEAF_AUTO(result, host_.store_.apply(transactionOf(commit), commitTimeout));
@@ -247,6 +249,7 @@
             [&] {
                 return batch::LeaderInput(batch::CommitFailed{commit.commit_, {}});
             });
+        host_.metrics_.observe("commit_seconds", bootNow() - began);
         inputs_.put(std::move(answer));
     }
 
@@ -275,8 +278,9 @@
     std::vector<std::thread> threads_;
 };
 
-LeaderHost::LeaderHost(platform::StoreClient &store, batch::LeaderLimits limits, const ConfigReplica &config, Send send)
+LeaderHost::LeaderHost(platform::StoreClient &store, Metrics &metrics, batch::LeaderLimits limits, const ConfigReplica &config, Send send)
     : store_(store)
+    , metrics_(metrics)
     , limits_(limits)
     , config_(config)
     , send_(std::move(send))
--- a/src/node/leader_host.h
+++ b/src/node/leader_host.h
@@ -3,6 +3,7 @@
 #include "config_replica.h"
 #include "core/batch/leader.h"
 #include "mailbox.h"
+#include "metrics/metrics.h"
 #include "store_client.h"
 
 #include <atomic>
@@ -20,7 +21,7 @@
 public:
     using Send = std::function<void(const std::string &agent, const batch::Directive &directive)>;
 
-    LeaderHost(platform::StoreClient &store, batch::LeaderLimits limits, const ConfigReplica &config, Send send);
+    LeaderHost(platform::StoreClient &store, Metrics &metrics, batch::LeaderLimits limits, const ConfigReplica &config, Send send);
     ~LeaderHost();
 
     /// Starts leading with fencing token \p epoch. Precondition: not leading.
@@ -36,6 +37,7 @@
     struct Term;
 
     platform::StoreClient &store_;
+    Metrics &metrics_;
     batch::LeaderLimits limits_;
     const ConfigReplica &config_;
     Send send_;
--- /dev/null
+++ b/tests/process/store_client_test.cpp
@@ -0,0 +1,117 @@
+// The client of the platform's store over loopback, against a stand-in that loses answers.
+
+#include "store_client.h"
+
+#include "../../soak/store_stand_in.h"
+#include "support/expect.h"
+
+namespace bergamotwick::test {
+
+namespace {
+
+constexpr auto timeout = std::chrono::milliseconds(2'000);
+
+}
+
+class StoreClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreClientTest);
+    CPPUNIT_TEST(createsOnlyOnce);
+    CPPUNIT_TEST(longRangesComeInPages);
+    CPPUNIT_TEST(watchHearsOfChangesAndRemovals);
+    CPPUNIT_TEST(lostHistoryIsTold);
+    CPPUNIT_TEST(keysGoWithTheirLease);
+    CPPUNIT_TEST(refusedCallsHadNoEffect);
+    CPPUNIT_TEST(lostAnswerIsAmbiguous);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void createsOnlyOnce()
+    {
+        platform::Transaction create;
+        create.expected_ = {{"k", 0}};
+        create.puts_ = {{"k", std::string("\0\xff", 2), 0}};
+        CPPUNIT_ASSERT(value(client_.apply(create, timeout)).applied_);
+        const auto second = value(client_.apply(create, timeout));
+        CPPUNIT_ASSERT(!second.applied_);
+        CPPUNIT_ASSERT_EQUAL(std::string("\0\xff", 2), second.current_.at(0).value_);
+        CPPUNIT_ASSERT_EQUAL(std::string("\0\xff", 2), value(client_.get("k", timeout))->value_);
+        CPPUNIT_ASSERT(!value(client_.get("other", timeout)).has_value());
+    }
+
+    void longRangesComeInPages()
+    {
+        for (int number = 0; number < 130; ++number) {
+            store_.put("p/" + std::to_string(1'000 + number), "v");
+        }
+        store_.put("q/other", "v");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{130}, value(client_.range("p/", timeout)).items_.size());
+    }
+
+    void watchHearsOfChangesAndRemovals()
+    {
+        const auto from = value(client_.range("p/", timeout)).atRevision_;
+        store_.put("p/a", "v");
+        store_.remove("p/a");
+        const auto changes = value(client_.watch("p/", from, std::chrono::milliseconds(1'000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changes.events_.size());
+        CPPUNIT_ASSERT(!changes.events_[0].removed_ && changes.events_[1].removed_);
+    }
+
+    void lostHistoryIsTold()
+    {
+        const auto from = value(client_.range("p/", timeout)).atRevision_;
+        store_.put("p/a", "v");
+        store_.compact();
+        CPPUNIT_ASSERT(value(client_.watch("p/", from, std::chrono::milliseconds(100))).historyLost_);
+    }
+
+    void keysGoWithTheirLease()
+    {
+        const auto lease = value(client_.grantLease(std::chrono::seconds(30), timeout));
+        platform::Transaction put;
+        put.puts_ = {{"leased", "v", lease}};
+        CPPUNIT_ASSERT(value(client_.apply(put, timeout)).applied_);
+        CPPUNIT_ASSERT(value(client_.keepLease(lease, timeout)));
+        value2(client_.endLease(lease, timeout));
+        CPPUNIT_ASSERT(!value(client_.get("leased", timeout)).has_value());
+        CPPUNIT_ASSERT(!value(client_.keepLease(lease, timeout)));
+        CPPUNIT_ASSERT(!value(client_.apply(put, timeout)).applied_);
+    }
+
+    void refusedCallsHadNoEffect()
+    {
+        soak::StoreFaults down;
+        down.down_ = true;
+        store_.setFaults(down);
+        const auto error = errorOf<StoreError>([&] { return client_.get("k", timeout); });
+        CPPUNIT_ASSERT(error.code_ == StoreErrc::Unavailable);
+    }
+
+    void lostAnswerIsAmbiguous()
+    {
+        soak::StoreFaults lossy;
+        lossy.lost_ = 1;
+        store_.setFaults(lossy);
+        platform::Transaction create;
+        create.expected_ = {{"k", 0}};
+        create.puts_ = {{"k", "v", 0}};
+        const auto error = errorOf<StoreError>([&] { return client_.apply(create, timeout); });
+        CPPUNIT_ASSERT(error.code_ == StoreErrc::Ambiguous);
+        store_.setFaults({});
+        CPPUNIT_ASSERT(value(client_.get("k", timeout)).has_value());
+    }
+
+private:
+    static void value2(const Result<void> &result)
+    {
+        CPPUNIT_ASSERT(static_cast<bool>(result));
+    }
+
+    soak::StoreStandIn store_{1};
+    platform::StoreClient client_{store_.address()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreClientTest);
+
+}
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,152 @@
+#include "base64.h"
+#include "config_codec.h"
+#include "heartbeat_codec.h"
+#include "job_codec.h"
+#include "settings.h"
+#include "support/expect.h"
+
+#include <rapidcheck.h>
+
+namespace bergamotwick::test {
+
+/// What the platform's names, formats and bodies are read as.
+class PlatformCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformCodecTest);
+    CPPUNIT_TEST(settingsAreRead);
+    CPPUNIT_TEST(settingsWithoutTheStoreAreRefused);
+    CPPUNIT_TEST(base64GoesThereAndBack);
+    CPPUNIT_TEST(badBase64IsRefused);
+    CPPUNIT_TEST(jobIsRead);
+    CPPUNIT_TEST(malformedJobsAreRefused);
+    CPPUNIT_TEST(taskNamesGoThereAndBack);
+    CPPUNIT_TEST(foreignTaskNamesAreRefused);
+    CPPUNIT_TEST(configIsReadAndRouted);
+    CPPUNIT_TEST(illTypedConfigIsRefused);
+    CPPUNIT_TEST(heartbeatIsRead);
+    CPPUNIT_TEST(heartbeatsOfOtherWritersAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void settingsAreRead()
+    {
+        const auto settings = platform::parseSettings("node_name=front-a-1\nip=10.1.0.1\nlisten.front=10.1.0.1:8521\ninternal_ports=7000,7015\n"
+                                                      "platform.address=10.9.0.1:8524\nbounds.stop_ms=400\nbounds.grace_s=6\nnew.field=1\n");
+        CPPUNIT_ASSERT(settings.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.1:8521"), settings->callersAddress_);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7000}, settings->firstInternalPort_);
+        CPPUNIT_ASSERT(settings->stopLimit_ == 400ms);
+        CPPUNIT_ASSERT(settings->grace_ == 6s);
+    }
+
+    void settingsWithoutTheStoreAreRefused()
+    {
+        CPPUNIT_ASSERT(!platform::parseSettings("node_name=n\nip=10.1.0.1\ninternal_ports=7000,7015\n").has_value());
+        CPPUNIT_ASSERT(!platform::parseSettings("").has_value());
+    }
+
+    void base64GoesThereAndBack()
+    {
+        CPPUNIT_ASSERT(rc::check("base64", [](const std::string &bytes) { RC_ASSERT(platform::fromBase64(platform::toBase64(bytes)) == bytes); }));
+        CPPUNIT_ASSERT_EQUAL(std::string("bm9kZS0x"), platform::toBase64("node-1"));
+    }
+
+    void badBase64IsRefused()
+    {
+        for (const char *text : {"bm9", "b", "bm9k!S0x", "=bm9"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !platform::fromBase64(text).has_value());
+        }
+    }
+
+    void jobIsRead()
+    {
+        const auto job = value(platform::decodeJob(R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256,"gpu":2,"estimate_ms":900,)"
+                                                   R"("affinity":"r1-3"},{"count":20,"after":[0],"checkpoints":true,"gang":true,"same_rack":true}]})"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, job.steps_.size());
+        CPPUNIT_ASSERT(job.steps_[0].each_ == batch::Room({500, 256, 2}));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), job.steps_[0].affinity_);
+        CPPUNIT_ASSERT(job.steps_[1].gang_ && job.steps_[1].checkpoints_ && job.steps_[1].sameRack_);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, job.steps_[1].after_.at(0));
+    }
+
+    void malformedJobsAreRefused()
+    {
+        const std::string longSpec(4'001, 'x');
+        for (const std::string &body : {std::string("{"),
+                                        std::string("[]"),
+                                        std::string(R"({"spec":"s"})"),
+                                        std::string(R"({"steps":[]})"),
+                                        std::string(R"({"steps":[{"count":0}]})"),
+                                        std::string(R"({"steps":[{"count":-1}]})"),
+                                        std::string(R"({"steps":[{"count":"two"}]})"),
+                                        std::string(R"({"steps":[{"after":[0]}]})"),
+                                        std::string(R"({"steps":[{"after":[1]},{}]})"),
+                                        std::string(R"({"steps":[{"count":100000000}]})"),
+                                        std::string(R"({"repeats":1000000,"steps":[{"count":1000}]})"),
+                                        R"({"spec":")" + longSpec + R"(","steps":[{}]})"}) {
+            (void)errorOf<DocumentError>([&] { return platform::decodeJob(body); });
+        }
+    }
+
+    void taskNamesGoThereAndBack()
+    {
+        const batch::TaskId task{JobId("5c0e7a21d94b36f8"), 2, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.2.1.17"), platform::taskName(task));
+        CPPUNIT_ASSERT(platform::parseTaskName(platform::taskName(task)) == task);
+    }
+
+    void foreignTaskNamesAreRefused()
+    {
+        for (const char *name :
+             {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.x", "5c0e7a21d94b36f8.0.1.2.3", "zz0e7a21d94b36f8.0.1.2"}) {
+            CPPUNIT_ASSERT_MESSAGE(name, !platform::parseTaskName(name).has_value());
+        }
+    }
+
+    void configIsReadAndRouted()
+    {
+        const auto config = value(platform::decodeConfig(R"({"version":7,"routes":[{"host":"h","prefix":"/a/","service":"s","priority":1},)"
+                                                         R"({"host":"h","prefix":"/a/b/","service":"s","max_attempts":3,"stretch":1.5}],)"
+                                                         R"("tenants":[{"name":"w","api_keys":["k"],"guaranteed":{"gpu":16}}]})"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, config.version_);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), config.route("h", "/a/b/c")->prefix_);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), config.route("h", "/a/c")->prefix_);
+        CPPUNIT_ASSERT(config.route("other", "/a/c") == nullptr);
+        CPPUNIT_ASSERT(config.workspaceOfKey("k") != nullptr && config.workspaceOfKey("") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16}, config.guaranteed(WorkspaceId("w")));
+    }
+
+    void illTypedConfigIsRefused()
+    {
+        for (const char *text : {"", "[]", R"({"version":"7"})", R"({"version":7,"routes":[{"host":"h"}]})", R"({"version":7,"routes":{}})"}) {
+            (void)errorOf<DocumentError>([&] { return platform::decodeConfig(text); });
+        }
+    }
+
+    void heartbeatIsRead()
+    {
+        const auto beat = value(platform::decodeHeartbeat("i-1", heartbeat("\"ready\"")));
+        CPPUNIT_ASSERT(beat.executor_.life_.executor_ == ExecutorId("i-1"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, beat.executor_.life_.born_);
+        CPPUNIT_ASSERT(beat.executor_.capacity_ == batch::Room({16'000, 32'768, 8}));
+        CPPUNIT_ASSERT(!beat.executor_.draining_);
+        CPPUNIT_ASSERT(value(platform::decodeHeartbeat("i-1", heartbeat("\"draining\""))).executor_.draining_);
+    }
+
+    void heartbeatsOfOtherWritersAreRefused()
+    {
+        for (const std::string &body : {std::string("\xff\xfe"), std::string("{}"), heartbeat("\"resting\""), heartbeat("7"), std::string("null")}) {
+            (void)errorOf<DocumentError>([&] { return platform::decodeHeartbeat("i-1", body); });
+        }
+    }
+
+private:
+    static std::string heartbeat(const std::string &state)
+    {
+        return R"({"service":"s","zone":"z","state":)" + state + R"(,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},"labels":["a","r1-3"],"born":9,"seq":4})";
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecTest);
+
+}
