Ask the placement policy for tickets; keep filling work away from serving work

Ways weighed for harm: pacing by measured latency; keeping them apart needs no measurement and can't be late. Cost: room that fillers could have used beside serving tasks. Pace, waves of upkeep and moves between pools are not built.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -156,7 +156,7 @@
             breaches_.push_back("LOST: " + path + " is cancelled though nobody asked for it");
             finals_[path] = state;
         } else {
-            open.push_back(path + " " + std::to_string(status) + " " + state);
+            open.push_back(path + " " + state);
         }
     }
     return open;
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -105,6 +105,7 @@
     std::int32_t maxAttempts_ = 1;
     double stretch_ = 1.0;
     milliseconds targetLatency_{0};
+    std::optional<AdvicePolicy> advice_; ///< of its queue: who may run a step has to be asked
     std::map<std::size_t, std::set<ExecutorId>> avoid_; ///< executors on which a task has failed or stood still
     std::map<std::size_t, Reservation> reservations_; ///< by the first task of the group
     bool removing_ = false;
@@ -128,6 +129,33 @@
     std::size_t first_ = 0; ///< index of its first task in Progress::tasks_
 };
 
+/// Names a step of one occurrence of a job.
+struct StepId
+{
+    JobId job_;
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+
+    friend auto operator<=>(const StepId &, const StepId &) = default;
+};
+
+/// What the queue's placement policy has said of a step.
+struct Advice
+{
+    bool asking_ = false;
+    Instant askedAt_{};
+    std::set<ExecutorId> asked_; ///< whom the answers so far were about
+    std::map<ExecutorId, std::string> tickets_; ///< of executors that may run the step
+    Instant validUntil_{};
+};
+
+/// A question to the placement policy.
+struct Question
+{
+    StepId step_;
+    std::vector<ExecutorId> executors_;
+};
+
 /// An agent and what it last said.
 struct Agent
 {
@@ -159,6 +187,8 @@
     std::map<ExecutorId, Executor> executors_;
     std::map<std::string, Agent> agents_;
     std::map<RunId, Run> runs_;
+    std::map<StepId, Advice> advice_;
+    std::vector<Question> questions_;
     std::vector<Decision> decisions_;
 
     /// Returns whether orders may leave: the leader's key can't have lapsed.
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -1,5 +1,6 @@
 #include "core/batch/leader.h"
 
+#include "core/batch/advising.h"
 #include "core/batch/ledger.h"
 #include "core/batch/placing.h"
 #include "core/batch/runs.h"
@@ -45,6 +46,10 @@
     commit(outputs);
     acknowledgeEnds();
     direct(outputs);
+    for (Question &question : board_.questions_) {
+        outputs.emplace_back(std::move(question));
+    }
+    board_.questions_.clear();
     for (Decision &decision : board_.decisions_) {
         outputs.emplace_back(std::move(decision));
     }
@@ -177,6 +182,11 @@
     takeReport(board_, input);
 }
 
+void Leader::take(const AdviceGiven &input)
+{
+    takeAdvice(board_, input.step_, input.asked_, input.tickets_, input.valid_);
+}
+
 void Leader::take(const CommitDone &input)
 {
     if (!inFlight_ || inFlight_->commit_ != input.commit_) {
@@ -191,6 +201,7 @@
     }
     for (const JobId &id : inFlight_->removals_) {
         board_.jobs_.erase(id);
+        std::erase_if(board_.advice_, [&id](const auto &entry) { return entry.first.job_ == id; });
     }
     inFlight_.reset();
     releaseCommitted();
@@ -223,6 +234,7 @@
     job.maxAttempts_ = queue->maxAttempts_;
     job.stretch_ = queue->stretch_;
     job.targetLatency_ = queue->targetLatency_;
+    job.advice_ = queue->advice_;
     if (!queue->service_.empty()) {
         job.submission_.service_ = queue->service_;
     }
@@ -329,7 +341,7 @@
             directive.stops_.push_back(id);
         } else if (run.phase_ == RunPhase::Starting && !run.recovered_) {
             const Job &job = board_.jobs_.at(id.task_.job_);
-            directive.starts_.push_back({id, job.submission_.spec_, job.progress_.tasks_[*indexOf(job.submission_, id.task_)].checkpoint_});
+            directive.starts_.push_back({id, job.submission_.spec_, job.progress_.tasks_[*indexOf(job.submission_, id.task_)].checkpoint_, ticketFor(board_, run)});
         }
     }
     return directive;
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -58,7 +58,16 @@
     std::vector<std::pair<JobId, std::int64_t>> found_; ///< revisions of progress keys; 0 for absent ones
 };
 
-using LeaderInput = std::variant<JobStored, ProgressStored, CancelStored, ConfigChanged, EvacuationsChanged, StoreSeen, CommitDone, CommitFailed, Report>;
+/// What the placement policy has said; nothing asked means that it gave no answer.
+struct AdviceGiven
+{
+    StepId step_;
+    std::vector<ExecutorId> asked_;
+    std::map<ExecutorId, std::string> tickets_; ///< of those that may run the step
+    milliseconds valid_{0}; ///< from the question on
+};
+
+using LeaderInput = std::variant<AdviceGiven, JobStored, ProgressStored, CancelStored, ConfigChanged, EvacuationsChanged, StoreSeen, CommitDone, CommitFailed, Report>;
 
 // Outputs
 
@@ -84,7 +93,7 @@
     Directive directive_;
 };
 
-using LeaderOutput = std::variant<Commit, SendDirective, Decision>;
+using LeaderOutput = std::variant<Question, Commit, SendDirective, Decision>;
 
 /// Decides what runs where. Holds no socket, thread or clock.
 ///
@@ -116,6 +125,7 @@
     void take(const CommitDone &input);
     void take(const CommitFailed &input);
     void take(const Report &input);
+    void take(const AdviceGiven &input);
 
     void refreshFromConfig(Job &job) const;
     void releaseCommitted();
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -114,11 +114,12 @@
     RunId run_;
     std::string spec_;
     std::string checkpoint_;
+    std::string ticket_; ///< of the placement policy; empty if the queue has none
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(run_, spec_, checkpoint_);
+        archive(run_, spec_, checkpoint_, ticket_);
     }
 };
 
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -1,5 +1,6 @@
 #include "core/batch/placing.h"
 
+#include "core/batch/advising.h"
 #include "core/batch/ledger.h"
 #include "core/batch/preemption.h"
 
@@ -81,6 +82,7 @@
 std::vector<std::string> racksOf(const std::vector<Executor *> &executors)
 {
     std::vector<std::string> racks;
+    racks.reserve(executors.size());
     for (const Executor *executor : executors) {
         racks.push_back(executor->rack());
     }
@@ -166,6 +168,23 @@
 
 }
 
+namespace {
+
+/// Tasks that fill disturb tasks that serve on the same executor, by amounts that nobody can foretell; they are kept apart.
+bool wouldDisturb(const Board &board, const Executor &executor, const Step &step)
+{
+    const bool serves = step.target_.count() > 0;
+    if (!step.fills_ && !serves) {
+        return false;
+    }
+    return std::any_of(executor.runs_.begin(), executor.runs_.end(), [&](const RunId &run) {
+        const Step &other = board.jobs_.at(run.task_.job_).submission_.steps_[run.task_.step_];
+        return step.fills_ ? other.target_.count() > 0 : other.fills_;
+    });
+}
+
+}
+
 std::vector<Executor *> candidates(Board &board, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
@@ -173,10 +192,11 @@
     for (auto &[id, executor] : board.executors_) {
         const auto &labels = executor.facts_.labels_;
         const bool labelled = step.constraint_.empty() || std::find(labels.begin(), labels.end(), step.constraint_) != labels.end();
-        if (labelled && isUsable(board, executor, group.job_->submission_.service_)) {
+        if (labelled && isUsable(board, executor, group.job_->submission_.service_) && !wouldDisturb(board, executor, step)) {
             found.push_back(&executor);
         }
     }
+    filterByAdvice(board, group, found);
     return found;
 }
 
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -1,5 +1,6 @@
 #include "leader_host.h"
 
+#include "advice_client.h"
 #include "clock.h"
 #include "core/batch/codec.h"
 #include "daemon/log.h"
@@ -14,6 +15,7 @@
 constexpr milliseconds readTimeout{1'500};
 constexpr milliseconds commitTimeout{1'500};
 constexpr milliseconds watchWait{5'000};
+constexpr milliseconds adviceTimeout{6'000};
 constexpr milliseconds retryPause{150};
 
 /// Time passes for the scheduler at least this often.
@@ -81,6 +83,8 @@
     {
         threads_.emplace_back([this] { run(); });
         threads_.emplace_back([this] { writeCommits(); });
+        // A question may take longer than a handover; it keeps the term alive until it ends.
+        std::thread([self = shared_from_this()] { self->askQuestions(); }).detach();
     }
 
     /// Precondition: called once, from a thread that isn't the term's.
@@ -197,6 +201,8 @@
         for (batch::LeaderOutput &output : outputs) {
             if (auto *commit = std::get_if<batch::Commit>(&output)) {
                 commits_.put(std::move(*commit));
+            } else if (auto *question = std::get_if<batch::Question>(&output)) {
+                questions_.put(std::move(*question));
             } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
                 host_.send_(directive->agent_, directive->directive_);
             } else if (const auto *decision = std::get_if<batch::Decision>(&output)) {
@@ -206,6 +212,30 @@
         }
     }
 
+    void askQuestions()
+    {
+        while (!stopping_) {
+            for (const batch::Question &question : questions_.takeAll(tick * 10)) {
+                inputs_.put(ask(question));
+            }
+        }
+    }
+
+    [[nodiscard]] batch::AdviceGiven ask(const batch::Question &question) const
+    {
+        return leaf::try_handle_all(
+            [&]() -> Result<batch::AdviceGiven> {
+                BOOST_LEAF_AUTO(answer, platform::askAdvice(host_.adviceAddress_, question, adviceTimeout));
+                return batch::AdviceGiven{question.step_, question.executors_, std::move(answer.tickets_), answer.valid_};
+            },
+            [&](const platform::AdviceError &error) {
+                logEvent(LogLevel::Warning, "advice-missing", {{"job", question.step_.job_.str()}, {"status", error.status_}});
+                std::this_thread::sleep_for(retryPause);
+                return batch::AdviceGiven{question.step_, {}, {}, {}};
+            },
+            [&] { return batch::AdviceGiven{question.step_, {}, {}, {}}; });
+    }
+
     void writeCommits()
     {
         while (!stopping_) {
@@ -272,17 +302,24 @@
     std::int64_t revision_ = 0;
     Mailbox<batch::LeaderInput> inputs_;
     Mailbox<batch::Commit> commits_;
+    Mailbox<batch::Question> questions_;
     std::atomic<bool> finishing_{false};
     std::atomic<bool> idle_{false};
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> threads_;
 };
 
-LeaderHost::LeaderHost(platform::StoreClient &store, Metrics &metrics, batch::LeaderLimits limits, const ConfigReplica &config, Send send)
+LeaderHost::LeaderHost(platform::StoreClient &store,
+                       Metrics &metrics,
+                       batch::LeaderLimits limits,
+                       const ConfigReplica &config,
+                       std::string adviceAddress,
+                       Send send)
     : store_(store)
     , metrics_(metrics)
     , limits_(limits)
     , config_(config)
+    , adviceAddress_(std::move(adviceAddress))
     , send_(std::move(send))
 {
 }
--- a/src/node/leader_host.h
+++ b/src/node/leader_host.h
@@ -21,7 +21,12 @@
 public:
     using Send = std::function<void(const std::string &agent, const batch::Directive &directive)>;
 
-    LeaderHost(platform::StoreClient &store, Metrics &metrics, batch::LeaderLimits limits, const ConfigReplica &config, Send send);
+    LeaderHost(platform::StoreClient &store,
+               Metrics &metrics,
+               batch::LeaderLimits limits,
+               const ConfigReplica &config,
+               std::string adviceAddress,
+               Send send);
     ~LeaderHost();
 
     /// Starts leading with fencing token \p epoch. Precondition: not leading.
@@ -40,6 +45,7 @@
     Metrics &metrics_;
     batch::LeaderLimits limits_;
     const ConfigReplica &config_;
+    std::string adviceAddress_;
     Send send_;
     std::mutex mutex_;
     std::shared_ptr<Term> term_;
--- a/tests/unit/batch_cluster_test.cpp
+++ b/tests/unit/batch_cluster_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(guaranteeIsHadBack);
     CPPUNIT_TEST(antiAffinityHolds);
     CPPUNIT_TEST(repeatedJobRunsWhenDue);
+    CPPUNIT_TEST(fillingWorkStaysAwayFromServingWork);
+    CPPUNIT_TEST(lastingTaskIsRestartedHoweverItEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -382,6 +384,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
     }
 
+    void fillingWorkStaysAwayFromServingWork()
+    {
+        Cluster cluster(2, 1);
+        batch::Submission serving = jobOf("first", 1, {30'000, 1'000, 1}, 20s);
+        serving.steps_[0].longRunning_ = true;
+        serving.steps_[0].target_ = 50ms;
+        cluster.submit(serving);
+        cluster.run(500ms);
+        batch::Submission filling = jobOf("filling", 6, {60'000, 1'000, 0}, 2s);
+        filling.steps_[0].fills_ = true;
+        cluster.submit(filling);
+        cluster.run(1s);
+        const auto &runs = cluster.leader()->board().runs_;
+        std::set<ExecutorId> serves;
+        std::set<ExecutorId> fills;
+        for (const auto &[id, run] : runs) {
+            (id.task_.job_ == first ? serves : fills).insert(run.place_.executor_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, serves.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fills.size());
+        CPPUNIT_ASSERT(serves != fills);
+    }
+
+    void lastingTaskIsRestartedHoweverItEnds()
+    {
+        Cluster cluster(2, 1);
+        batch::Submission lasting = jobOf("first", 1, {1'000, 1'000, 1}, 500ms);
+        lasting.steps_[0].longRunning_ = true;
+        cluster.submit(lasting);
+        cluster.run(5s);
+        CPPUNIT_ASSERT(cluster.starts(first) >= 4);
+        CPPUNIT_ASSERT(cluster.state(first) == batch::JobState::Running);
+    }
+
 private:
     static void submitSeveral(Cluster &cluster)
     {
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -30,6 +30,10 @@
             queue.stretch_ = 3;
             config.queues_.push_back(queue);
         }
+        batch::Queue advised = config.queues_.back();
+        advised.prefix_ = "/advised/";
+        advised.advice_ = batch::AdvicePolicy{10ms, 1ms, 3'000ms};
+        config.queues_.push_back(advised);
         config.version_ = 1;
         config.workspaces_ = {{WorkspaceId("w"), {}, 16}};
         step({batch::ConfigChanged{config}});
@@ -70,6 +74,8 @@
         for (batch::LeaderOutput &output : leader_.step(now_, calendar(), std::move(inputs))) {
             if (const auto *commit = std::get_if<batch::Commit>(&output)) {
                 step({batch::CommitDone{commit->commit_, ++revision_}});
+            } else if (const auto *question = std::get_if<batch::Question>(&output)) {
+                questions_.push_back(*question);
             } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
                 take(*directive);
             }
@@ -104,6 +110,23 @@
         return runs;
     }
 
+    /// Gives the policy's answer to the last question.
+    void advise(const std::map<ExecutorId, std::string> &tickets, milliseconds valid)
+    {
+        const batch::Question question = questions_.back();
+        step({batch::AdviceGiven{question.step_, question.executors_, tickets, valid}});
+    }
+
+    [[nodiscard]] const std::vector<batch::Question> &questions() const noexcept
+    {
+        return questions_;
+    }
+
+    [[nodiscard]] const std::vector<std::string> &ticketsUsed() const noexcept
+    {
+        return tickets_;
+    }
+
     [[nodiscard]] bool wasStopped(const std::string &job) const
     {
         return std::any_of(stopped_.begin(), stopped_.end(), [&job](const RunId &run) { return run.task_.job_ == JobId(job); });
@@ -123,6 +146,7 @@
                 = std::any_of(report->running_.begin(), report->running_.end(), [&start](const batch::RunningTask &task) { return task.run_ == start.run_; });
             if (!known) {
                 report->running_.push_back({start.run_, "", 0, 0});
+                tickets_.push_back(start.ticket_);
             }
         }
         for (const RunId &run : sent.directive_.stops_) {
@@ -138,6 +162,8 @@
     batch::Leader leader_;
     std::vector<batch::Report> reports_;
     std::vector<RunId> stopped_;
+    std::vector<batch::Question> questions_;
+    std::vector<std::string> tickets_;
     std::int64_t revision_ = 10;
 };
 
@@ -159,6 +185,8 @@
     CPPUNIT_TEST(urgentWorkTakesCheapVictims);
     CPPUNIT_TEST(unguaranteedWorkThrowsNothingLargeAway);
     CPPUNIT_TEST(guaranteedWorkWaitsForAnEndThatIsNear);
+    CPPUNIT_TEST(advisedWorkRunsOnlyWhereItMay);
+    CPPUNIT_TEST(ticketsThatRunOutAreAskedForAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +256,33 @@
         CPPUNIT_ASSERT(!bench.wasStopped("gang"));
     }
 
+    void advisedWorkRunsOnlyWhereItMay()
+    {
+        Bench bench(3);
+        batch::Submission job = jobOf("advised", 2, {1'000, 1'000, 2}, 1s);
+        job.queue_ = "h/advised/";
+        bench.submit(job);
+        bench.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.questions().size());
+        CPPUNIT_ASSERT(bench.running("advised").empty());
+        bench.advise({{ExecutorId("x1"), "ticket-1"}}, 3s);
+        bench.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.running("advised").size());
+        CPPUNIT_ASSERT(bench.ticketsUsed() == std::vector<std::string>({"ticket-1", "ticket-1"}));
+    }
+
+    void ticketsThatRunOutAreAskedForAgain()
+    {
+        Bench bench(1);
+        batch::Submission job = jobOf("advised", 2, {1'000, 1'000, 8}, 1s);
+        job.queue_ = "h/advised/";
+        bench.submit(job);
+        bench.pass(200ms);
+        bench.advise({{ExecutorId("x0"), "first"}}, 2s);
+        bench.pass(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.questions().size());
+    }
+
     void guaranteedWorkWaitsForAnEndThatIsNear()
     {
         Bench bench(1);
