--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -341,7 +341,8 @@
             directive.stops_.push_back(id);
         } else if (run.phase_ == RunPhase::Starting && !run.recovered_) {
             const Job &job = board_.jobs_.at(id.task_.job_);
-            directive.starts_.push_back({id, job.submission_.spec_, job.progress_.tasks_[*indexOf(job.submission_, id.task_)].checkpoint_, ticketFor(board_, run)});
+            directive.starts_.push_back(
+                {id, job.submission_.spec_, job.progress_.tasks_[*indexOf(job.submission_, id.task_)].checkpoint_, ticketFor(board_, run)});
         }
     }
     return directive;
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -67,7 +67,8 @@
     milliseconds valid_{0}; ///< from the question on
 };
 
-using LeaderInput = std::variant<AdviceGiven, JobStored, ProgressStored, CancelStored, ConfigChanged, EvacuationsChanged, StoreSeen, CommitDone, CommitFailed, Report>;
+using LeaderInput
+    = std::variant<AdviceGiven, JobStored, ProgressStored, CancelStored, ConfigChanged, EvacuationsChanged, StoreSeen, CommitDone, CommitFailed, Report>;
 
 // Outputs
 
--- a/src/core/batch/ledger.cpp
+++ b/src/core/batch/ledger.cpp
@@ -1,5 +1,7 @@
 #include "core/batch/ledger.h"
 
+#include <algorithm>
+
 namespace bergamotwick::batch {
 
 Room freeRoom(const Executor &executor, const JobId &job, std::size_t group)
@@ -56,6 +58,27 @@
     job.reservations_[group.first_] = std::move(reservation);
 }
 
+void useReservation(Board &board, Job &job, const Group &group, const std::vector<Incarnation> &used, std::size_t remaining)
+{
+    const auto found = job.reservations_.find(group.first_);
+    if (found == job.reservations_.end()) {
+        return;
+    }
+    Reservation rest = found->second;
+    for (const Incarnation &place : used) {
+        const auto at = std::find(rest.places_.begin(), rest.places_.end(), place);
+        if (at != rest.places_.end()) {
+            rest.places_.erase(at);
+        }
+    }
+    rest.places_.resize(std::min(rest.places_.size(), remaining));
+    if (rest.places_.empty()) {
+        release(board, job, group.first_);
+    } else {
+        reserve(board, job, group, std::move(rest));
+    }
+}
+
 void release(Board &board, Job &job, std::size_t group)
 {
     const auto found = job.reservations_.find(group);
--- a/src/core/batch/ledger.h
+++ b/src/core/batch/ledger.h
@@ -19,6 +19,9 @@
 /// Sets executors apart for a group of \p job. Precondition: all places are known.
 void reserve(Board &board, Job &job, const Group &group, Reservation reservation);
 
+/// Takes \p used out of a group's reservation, and keeps the rest for its \p remaining tasks.
+void useReservation(Board &board, Job &job, const Group &group, const std::vector<Incarnation> &used, std::size_t remaining);
+
 /// Gives a group's reservation up, if it has one.
 void release(Board &board, Job &job, std::size_t group);
 
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -217,7 +217,11 @@
 {
     Job &job = *group.job_;
     const Step &step = job.submission_.steps_[group.group_.step_];
-    release(board, job, group.group_.first_);
+    std::vector<Incarnation> used;
+    for (const auto &[index, place] : placement) {
+        used.push_back(place);
+    }
+    useReservation(board, job, group.group_, used, group.tasks_.size() - placement.size());
     std::uint32_t gangRun = 0;
     std::string gangCheckpoint;
     for (const std::size_t task : group.tasks_) {
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -56,7 +56,10 @@
               [this] { return membership_.connected() ? membership_.members().leader_ : std::nullopt; })
         , leader_(store_,
                   metrics_,
-                  limitsOf(settings), config_, settings.adviceAddress_, [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
+                  limitsOf(settings),
+                  config_,
+                  settings.adviceAddress_,
+                  [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
         , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
         , forwarder_(settings.nodeName_, [this] { return membership_.members().entries_; })
         , service_(store_, config_, forwarder_, metrics_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -233,7 +233,9 @@
                 std::this_thread::sleep_for(retryPause);
                 return batch::AdviceGiven{question.step_, {}, {}, {}};
             },
-            [&] { return batch::AdviceGiven{question.step_, {}, {}, {}}; });
+            [&] {
+                return batch::AdviceGiven{question.step_, {}, {}, {}};
+            });
     }
 
     void writeCommits()
@@ -309,12 +311,8 @@
     std::vector<std::thread> threads_;
 };
 
-LeaderHost::LeaderHost(platform::StoreClient &store,
-                       Metrics &metrics,
-                       batch::LeaderLimits limits,
-                       const ConfigReplica &config,
-                       std::string adviceAddress,
-                       Send send)
+LeaderHost::LeaderHost(
+    platform::StoreClient &store, Metrics &metrics, batch::LeaderLimits limits, const ConfigReplica &config, std::string adviceAddress, Send send)
     : store_(store)
     , metrics_(metrics)
     , limits_(limits)
--- a/src/node/leader_host.h
+++ b/src/node/leader_host.h
@@ -21,12 +21,7 @@
 public:
     using Send = std::function<void(const std::string &agent, const batch::Directive &directive)>;
 
-    LeaderHost(platform::StoreClient &store,
-               Metrics &metrics,
-               batch::LeaderLimits limits,
-               const ConfigReplica &config,
-               std::string adviceAddress,
-               Send send);
+    LeaderHost(platform::StoreClient &store, Metrics &metrics, batch::LeaderLimits limits, const ConfigReplica &config, std::string adviceAddress, Send send);
     ~LeaderHost();
 
     /// Starts leading with fencing token \p epoch. Precondition: not leading.
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -151,6 +151,9 @@
         }
         for (const RunId &run : sent.directive_.stops_) {
             stopped_.push_back(run);
+            if (run.task_.index_ == slowToStop_) {
+                continue;
+            }
             const auto ended = std::erase_if(report->running_, [&run](const batch::RunningTask &task) { return task.run_ == run; });
             if (ended > 0) {
                 report->ended_.push_back({static_cast<std::int64_t>(report->ended_.size()) + 1, run, batch::EndKind::Stopped, ""});
@@ -158,6 +161,10 @@
         }
     }
 
+public:
+    std::optional<std::uint32_t> slowToStop_; ///< index of the task whose stop takes until this is cleared
+
+private:
     Instant now_{std::chrono::hours(1)};
     batch::Leader leader_;
     std::vector<batch::Report> reports_;
@@ -185,6 +192,7 @@
     CPPUNIT_TEST(urgentWorkTakesCheapVictims);
     CPPUNIT_TEST(unguaranteedWorkThrowsNothingLargeAway);
     CPPUNIT_TEST(guaranteedWorkWaitsForAnEndThatIsNear);
+    CPPUNIT_TEST(clearedRoomIsKeptUntilAllOfItIsUsed);
     CPPUNIT_TEST(advisedWorkRunsOnlyWhereItMay);
     CPPUNIT_TEST(ticketsThatRunOutAreAskedForAgain);
     CPPUNIT_TEST_SUITE_END();
@@ -256,6 +264,24 @@
         CPPUNIT_ASSERT(!bench.wasStopped("gang"));
     }
 
+    void clearedRoomIsKeptUntilAllOfItIsUsed()
+    {
+        Bench bench(2);
+        batch::Submission saving = jobOf("saving", 4, {1'000, 1'000, 4}, 60s);
+        saving.steps_[0].checkpoints_ = true;
+        bench.submit(saving);
+        bench.pass(1s);
+        bench.slowToStop_ = 1;
+        bench.submit(urgentJob("urgent", 2, {1'000, 1'000, 8}, 2s));
+        bench.pass(500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("urgent").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("saving").size());
+        bench.slowToStop_.reset();
+        bench.pass(400ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.running("urgent").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bench.running("saving").size());
+    }
+
     void advisedWorkRunsOnlyWhereItMay()
     {
         Bench bench(3);
