--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -117,10 +117,13 @@
             }
         }
         Handed handed = accepted ? Handed::Accepted : doubt ? Handed::InDoubt : Handed::Refused;
-        if (accepted && random() % 8 == 0 && send("DELETE", path, "", random(), nullptr) == 200) {
-            handed = Handed::Cancelled;
-            const std::lock_guard lock(judge_.mutex_);
-            judge_.judge_.cancelled(JobId(id), soakNow());
+        if (accepted && random() % 8 == 0) {
+            const bool confirmed = send("DELETE", path, "", random(), nullptr) == 200;
+            handed = confirmed ? Handed::Cancelled : Handed::InDoubt; // a call without an answer may have been carried out
+            if (confirmed) {
+                const std::lock_guard lock(judge_.mutex_);
+                judge_.judge_.cancelled(JobId(id), soakNow());
+            }
         }
         {
             const std::lock_guard lock(mutex_);
@@ -144,7 +147,7 @@
             continue;
         }
         std::string body;
-        const int status = send("GET", path, "", entry++, &body);
+        const int status = send("GET", path, {}, entry++, &body);
         const Json json = Json::parse(body, nullptr, false);
         const std::string state = json.is_object() ? json.value("state", "") : "";
         if (status == 410) {
--- a/soak/executor_server.cpp
+++ b/soak/executor_server.cpp
@@ -110,17 +110,18 @@
         const std::lock_guard lock(judge_.mutex_);
         judge_.judge_.executorUp(facts);
     }
-    executor_ = std::make_unique<test::ExecutorStandIn>(facts,
-                                                        soakNow(),
-                                                        stopTakes,
-                                                        test::ExecutorWatch{[this](const auto &life, const auto &run, const auto &checkpoint) {
-                                                                                const std::lock_guard lock(judge_.mutex_);
-                                                                                judge_.judge_.began(life, run, checkpoint, soakNow(), lateOrder_);
-                                                                            },
-                                                                            [this](const auto &life, const auto &run, batch::EndKind how) {
-                                                                                const std::lock_guard lock(judge_.mutex_);
-                                                                                judge_.judge_.ended(life, run, how);
-                                                                            }});
+    executor_
+        = std::make_unique<test::ExecutorStandIn>(facts,
+                                                  soakNow(),
+                                                  stopTakes,
+                                                  test::ExecutorWatch{[this](const auto &life, const auto &run, const auto &checkpoint) {
+                                                                          const std::lock_guard lock(judge_.mutex_);
+                                                                          judge_.judge_.began(life, run, checkpoint, soakNow(), lateOrder_ || linkDisturbed_);
+                                                                      },
+                                                                      [this](const auto &life, const auto &run, batch::EndKind how) {
+                                                                          const std::lock_guard lock(judge_.mutex_);
+                                                                          judge_.judge_.ended(life, run, how);
+                                                                      }});
 }
 
 void ExecutorServer::restart(bool sameName)
@@ -139,6 +140,15 @@
     http.set_tcp_nodelay(true);
     http.set_keep_alive_max_count(1'000'000);
     http.new_task_queue = [] { return new platform::ThreadPerConnection; };
+    serveOrders();
+    serveHolds();
+    server_->port_ = http.bind_to_any_port("127.0.0.1");
+    server_->serving_ = std::thread([this] { server_->http_.listen_after_bind(); });
+}
+
+void ExecutorServer::serveOrders()
+{
+    httplib::Server &http = server_->http_;
     const auto answer = [this](httplib::Response &response, test::Taken taken) {
         Json body = {{"clock_ms", executor_->clock(soakNow()).count()}, {"born", executor_->facts().life_.born_}};
         response.status = taken == test::Taken::Yes ? 200 : taken == test::Taken::OtherLife ? 421 : 409;
@@ -185,7 +195,11 @@
                   call.epoch_ = body.at("fence_token");
                   return executor_->stop(call, soakNow());
               }));
-    http.Post("/bergamotwick/hold", [this](const httplib::Request &request, httplib::Response &response) {
+}
+
+void ExecutorServer::serveHolds()
+{
+    server_->http_.Post("/bergamotwick/hold", [this](const httplib::Request &request, httplib::Response &response) {
         const Json body = Json::parse(request.body);
         batch::HoldCall call;
         call.life_.executor_ = ExecutorId(request.get_header_value("X-Expect-Instance"));
@@ -219,8 +233,6 @@
         response.set_content(Json({{"clock_ms", held->clock_.count()}, {"born", held->born_}, {"running", running}, {"ended_runs", ended}}).dump(),
                              "application/json");
     });
-    server_->port_ = http.bind_to_any_port("127.0.0.1");
-    server_->serving_ = std::thread([this] { server_->http_.listen_after_bind(); });
 }
 
 void ExecutorServer::beat()
--- a/soak/executor_server.h
+++ b/soak/executor_server.h
@@ -45,11 +45,19 @@
         lateShare_ = share;
     }
 
+    /// Says whether orders may be held up on the way: what is begun then counts as an order that was carried out late.
+    void setLinkDisturbed(bool disturbed) noexcept
+    {
+        linkDisturbed_ = disturbed;
+    }
+
 private:
     struct Server;
 
     void comeUp(bool sameName);
     void serve();
+    void serveOrders();
+    void serveHolds();
     void beat();
     [[nodiscard]] bool isLate();
 
@@ -64,6 +72,7 @@
     std::int64_t beats_ = 0;
     bool lateOrder_ = false;
     std::atomic<bool> failing_{false};
+    std::atomic<bool> linkDisturbed_{false};
     std::atomic<double> lateShare_{0};
     std::atomic<unsigned> rolls_{0};
     std::atomic<bool> stopping_{false};
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -32,6 +32,11 @@
 /// Everything is calm for at most this long after the faults; a job that hasn't ended by then never will.
 constexpr std::chrono::seconds calm{90};
 
+constexpr milliseconds longestLinkFault{7'000};
+
+/// What a link held up arrives within this after it is mended.
+constexpr milliseconds heldUpSlack{1'000};
+
 /// Draws faults from a seed and plays them; several overlap.
 class Faults
 {
@@ -112,7 +117,7 @@
         case 5:
             return breakLink(anyNode().storeLink(), "store link");
         case 6:
-            return breakLink(any(fleet_.agents_).executorLink(), "executor link");
+            return breakExecutorLink(random_() % fleet_.agents_.size());
         case 7:
             return breakExecutor();
         default:
@@ -159,7 +164,15 @@
         const auto mode = static_cast<LinkMode>(1 + random_() % 4);
         say(which, std::to_string(static_cast<int>(mode)));
         link.setMode(mode);
-        later(between(300, 7'000), [&link] { link.setMode(LinkMode::Pass); });
+        later(between(300, static_cast<int>(longestLinkFault.count())), [&link] { link.setMode(LinkMode::Pass); });
+    }
+
+    void breakExecutorLink(std::size_t number)
+    {
+        ExecutorServer &executor = fleet_.executors_[number];
+        executor.setLinkDisturbed(true);
+        breakLink(fleet_.agents_[number].executorLink(), "executor link");
+        later(longestLinkFault + heldUpSlack, [&executor] { executor.setLinkDisturbed(false); });
     }
 
     void breakExecutor()
--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -37,7 +37,7 @@
 {
 }
 
-std::vector<AgentOutput> AgentCore::step(Instant now, std::vector<AgentInput> inputs)
+std::vector<AgentOutput> AgentCore::step(Instant now, const std::vector<AgentInput> &inputs)
 {
     now_ = now;
     for (const AgentInput &input : inputs) {
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -112,7 +112,7 @@
     AgentCore(std::string name, milliseconds stopLimit);
 
     /// Takes \p inputs in and returns what is to be done.
-    [[nodiscard]] std::vector<AgentOutput> step(Instant now, std::vector<AgentInput> inputs);
+    [[nodiscard]] std::vector<AgentOutput> step(Instant now, const std::vector<AgentInput> &inputs);
 
     /// Returns the next call for the executor's lists, and notes the lease that it gives.
     [[nodiscard]] HoldCall nextHold(Instant now);
--- a/src/core/batch/framing.h
+++ b/src/core/batch/framing.h
@@ -62,7 +62,7 @@
     if (static_cast<Kind>(bytes[1]) != kind || sum != checksum(body, kind)) {
         return leaf::new_error(WireError{WireErrc::Corrupt});
     }
-    Value value;
+    Value value{};
     try {
         InputArchive archive(body);
         archive(value);
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -218,6 +218,7 @@
     Job &job = *group.job_;
     const Step &step = job.submission_.steps_[group.group_.step_];
     std::vector<Incarnation> used;
+    used.reserve(placement.size());
     for (const auto &[index, place] : placement) {
         used.push_back(place);
     }
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -100,11 +100,11 @@
     void step()
     {
         for (;;) {
-            auto inputs = inputs_.takeAll(tick);
+            const auto inputs = inputs_.takeAll(tick);
             std::vector<batch::AgentOutput> outputs;
             {
                 const std::lock_guard lock(coreMutex_);
-                outputs = core_.step(bootNow(), std::move(inputs));
+                outputs = core_.step(bootNow(), inputs);
             }
             for (batch::AgentOutput &output : outputs) {
                 std::visit([this](auto &&any) { carryOut(std::forward<decltype(any)>(any)); }, std::move(output));
--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -80,7 +80,7 @@
                 apply(item, next);
             }
             next.revision_ = range.atRevision_;
-            publish(std::move(next));
+            publish(next);
             return true;
         },
         [](const StoreError &error) {
@@ -104,7 +104,7 @@
                 apply(item, next);
             }
             next.revision_ = std::max(next.revision_, changes.atRevision_);
-            publish(std::move(next));
+            publish(next);
             return true;
         },
         [](const StoreError &error) {
@@ -114,7 +114,7 @@
         [] { return false; });
 }
 
-void Membership::publish(Members next)
+void Membership::publish(const Members &next)
 {
     {
         const std::lock_guard lock(mutex_);
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -47,7 +47,7 @@
 private:
     [[nodiscard]] bool readAll();
     [[nodiscard]] bool follow();
-    void publish(Members next);
+    void publish(const Members &next);
 
     platform::StoreClient &store_;
     std::function<void(const Members &)> changed_;
