Judge each member of a gang by its own progress

The end of a gang was guessed from one member, so room that had been counted on came a second late. Test memberThatStandsStillIsFoundWhileOthersWork failed first.

--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -52,8 +52,9 @@
 std::optional<milliseconds> expectedRest(const Board &board, const Run &run)
 {
     constexpr std::int32_t leastPercent = 5;
-    if (run.phase_ != RunPhase::Running || run.percent_ < leastPercent) {
-        return std::nullopt;
+    const bool gang = board.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_].gang_;
+    if (gang || run.phase_ != RunPhase::Running || run.percent_ < leastPercent) {
+        return std::nullopt; // members of a gang end with the slowest
     }
     const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
     return elapsed * (100 - run.percent_) / run.percent_;
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -3,7 +3,6 @@
 #include "core/batch/ledger.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace bergamotwick::batch {
 
@@ -327,35 +326,15 @@
     Draining,
 };
 
-/// Names all that ends together: a task's run, or a gang's.
-using SharedRun = std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
-
-SharedRun sharedRunOf(const Board &board, const RunId &run)
-{
-    const bool gang = board.jobs_.at(run.task_.job_).submission_.steps_[run.task_.step_].gang_;
-    return {run.task_.job_, run.task_.occurrence_, run.task_.step_, gang ? 0 : run.task_.index_, run.run_};
-}
-
-/// Returns when each run, or any member of a gang's, last made progress: a member that is ready waits for the slowest.
-std::map<SharedRun, Instant> latestProgress(const Board &board)
-{
-    std::map<SharedRun, Instant> latest;
-    for (const auto &[id, run] : board.runs_) {
-        Instant &at = latest[sharedRunOf(board, id)];
-        at = std::max(at, run.progressAt_);
-    }
-    return latest;
-}
-
-std::optional<StuckReason> whyStuck(const Board &board, const Run &run, const std::map<SharedRun, Instant> &progress)
+std::optional<StuckReason> whyStuck(const Board &board, const Run &run)
 {
     const auto executor = board.executors_.find(run.place_.executor_);
     if (run.phase_ != RunPhase::Running || executor == board.executors_.end() || board.now_ - executor->second.lastReport_ > silenceLimit) {
         return std::nullopt;
     }
-    constexpr std::int32_t ready = 99; ///< percent of a gang's member that waits for the others
+    constexpr std::int32_t ready = 99; ///< percent of a gang's member that has done its part and waits for the others
     const Step &step = board.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_];
-    const bool standsStill = board.now_ - progress.at(sharedRunOf(board, run.id_)) > standstill;
+    const bool standsStill = board.now_ - run.progressAt_ > standstill;
     if (standsStill && run.percent_ < ready && !step.longRunning_ && !step.fills_) {
         return StuckReason::Standstill;
     }
@@ -432,7 +411,9 @@
         if (run == board.runs_.end() || run->second.phase_ == RunPhase::Stopping) {
             continue;
         }
-        board.decide("run-stop", {{"run", toString(each)}, {"reason", reason}, {"executor", run->second.place_.executor_.str()}});
+        board.decide(
+            "run-stop",
+            {{"run", toString(each)}, {"reason", reason}, {"executor", run->second.place_.executor_.str()}, {"percent", std::to_string(run->second.percent_)}});
         if (run->second.phase_ == RunPhase::Committing) {
             removeRun(board, each); // no order has left
             continue;
@@ -492,10 +473,9 @@
 
 void moveStuckRuns(Board &board)
 {
-    const auto progress = latestProgress(board);
     std::vector<std::pair<RunId, StuckReason>> stuck;
     for (const auto &[id, run] : board.runs_) {
-        if (const auto reason = whyStuck(board, run, progress)) {
+        if (const auto reason = whyStuck(board, run)) {
             stuck.emplace_back(id, *reason);
         }
     }
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -189,6 +189,7 @@
     CPPUNIT_TEST_SUITE(BatchLeaderTest);
     CPPUNIT_TEST(gangMemberThatWaitsForOthersGoesOn);
     CPPUNIT_TEST(gangThatStandsStillIsStopped);
+    CPPUNIT_TEST(memberThatStandsStillIsFoundWhileOthersWork);
     CPPUNIT_TEST(urgentWorkTakesCheapVictims);
     CPPUNIT_TEST(unguaranteedWorkThrowsNothingLargeAway);
     CPPUNIT_TEST(guaranteedWorkWaitsForAnEndThatIsNear);
@@ -227,6 +228,21 @@
         CPPUNIT_ASSERT(bench.wasStopped("gang"));
     }
 
+    void memberThatStandsStillIsFoundWhileOthersWork()
+    {
+        Bench bench(2);
+        batch::Submission gang = jobOf("gang", 2, {1'000, 1'000, 8}, 10s);
+        gang.steps_[0].gang_ = true;
+        bench.submit(gang);
+        bench.pass(500ms);
+        const auto runs = bench.running("gang");
+        for (std::int32_t percent = 5; percent < 35; percent += 5) {
+            bench.setPercent(runs[1], percent);
+            bench.pass(500ms);
+        }
+        CPPUNIT_ASSERT(bench.wasStopped("gang"));
+    }
+
     void urgentWorkTakesCheapVictims()
     {
         Bench bench(2);
