--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -141,13 +141,12 @@
         jobs = jobs_;
     }
     std::vector<std::string> open;
-    std::size_t entry = 0;
     for (const auto &[path, handed] : jobs) {
         if (handed != Handed::Accepted || finals_.contains(path)) {
             continue;
         }
         std::string body;
-        const int status = send("GET", path, {}, entry++, &body);
+        const int status = send("GET", path, {}, nextEntry_++, &body);
         const Json json = Json::parse(body, nullptr, false);
         const std::string state = json.is_object() ? json.value("state", "") : "";
         if (status == 410) {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -49,6 +49,7 @@
     std::map<std::string, Handed> jobs_; ///< by path
     std::map<std::string, std::string> finals_; ///< states that were told as final
     std::vector<std::string> breaches_;
+    std::size_t nextEntry_ = 0; ///< of unfinished(); callers' next try reaches another entry
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> threads_;
 };
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -62,16 +63,19 @@
     if (pid_ > 0) {
         return;
     }
+    // Other threads may hold the allocator's lock when the process forks, so everything is made ready before.
+    std::string settings = "BERGAMOTWICK_SETTINGS=" + settingsFile_;
+    const std::array<char *, 3> arguments{program_.data(), role_.data(), nullptr};
+    const std::array<char *, 2> environment{settings.data(), nullptr};
+    const int log = ::open(logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     pid_ = ::fork();
-    if (pid_ != 0) {
-        return;
+    if (pid_ == 0) {
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+        ::execve(program_.c_str(), arguments.data(), environment.data());
+        ::_exit(127);
     }
-    ::setenv("BERGAMOTWICK_SETTINGS", settingsFile_.c_str(), 1);
-    const int log = ::open(logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    ::dup2(log, STDOUT_FILENO);
-    ::dup2(log, STDERR_FILENO);
-    ::execl(program_.c_str(), program_.c_str(), role_.c_str(), nullptr);
-    ::_exit(127);
+    ::close(log);
 }
 
 void Node::signal(int number) const
--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -14,6 +14,9 @@
 /// How often a start without an answer is repeated before it is taken back.
 constexpr int maxStartTries = 3;
 
+/// An executor that resets its connections answers at once; it is not asked again before this.
+constexpr milliseconds repeatPause{200};
+
 /// Outcomes of orders are reported for this long, which outlasts a lost connection.
 constexpr milliseconds orderKept{10'000};
 
@@ -43,6 +46,7 @@
     for (const AgentInput &input : inputs) {
         std::visit([this](const auto &any) { take(any); }, input);
     }
+    repeatOrders();
     forgetOldOrders();
     if (reportDue_ || now_ - reportedAt_ >= reportPeriod) {
         reportDue_ = false;
@@ -148,6 +152,7 @@
         return;
     }
     order.phase_ = OrderPhase::Stopping;
+    order.repeatAt_.reset();
     order.life_ = executor_.life_;
     order.since_ = now_;
     callStop(run, order);
@@ -169,7 +174,7 @@
         lifeConfirmed_ = false;
         log("start-unanswered", {{"run", toString(answer.run_)}, {"tries", std::to_string(order.tries_)}, {"reason", answer.reason_}});
         if (order.tries_ < maxStartTries) {
-            callStart(answer.run_, order);
+            order.repeatAt_ = now_ + repeatPause;
         } else {
             beginStop(answer.run_);
         }
@@ -189,7 +194,7 @@
         return;
     }
     if (answer.answer_ == OrderAnswer::Unknown) {
-        callStop(answer.run_, found->second);
+        found->second.repeatAt_ = now_ + repeatPause;
         return;
     }
     found->second.phase_ = OrderPhase::Stopped;
@@ -313,6 +318,25 @@
     reportDue_ = true;
 }
 
+void AgentCore::repeatOrders()
+{
+    std::vector<RunId> due;
+    for (const auto &[run, order] : orders_) {
+        if (order.repeatAt_ && *order.repeatAt_ <= now_) {
+            due.push_back(run);
+        }
+    }
+    for (const RunId &run : due) {
+        Order &order = orders_.at(run);
+        order.repeatAt_.reset();
+        if (order.phase_ == OrderPhase::Starting) {
+            callStart(run, order);
+        } else if (order.phase_ == OrderPhase::Stopping) {
+            callStop(run, order);
+        }
+    }
+}
+
 void AgentCore::forgetOldOrders()
 {
     std::erase_if(orders_, [this](const auto &entry) {
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -140,6 +140,7 @@
         StartOrder start_;
         Instant since_{};
         int tries_ = 0;
+        std::optional<Instant> repeatAt_; ///< when a call that had no answer is made again
         bool listed_ = false; ///< lists read since the start speak for it
     };
 
@@ -155,6 +156,7 @@
     void beginStop(const RunId &run);
     void callStart(const RunId &run, Order &order);
     void callStop(const RunId &run, const Order &order);
+    void repeatOrders();
     void settleOrders(const HoldAnswered &answer);
     void declareEmpty(const char *reason);
     void forgetOldOrders();
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -1,28 +1,12 @@
 #include "forwarding.h"
 
-#include "core/batch/framing.h"
 #include "daemon/log.h"
+#include "forwarding_codec.h"
 
 #include <thread>
 
 #include <sys/socket.h>
 
-namespace bergamotwick::platform {
-
-template<class Archive>
-void serialize(Archive &archive, Call &call)
-{
-    archive(call.method_, call.host_, call.path_, call.key_, call.body_, call.patience_);
-}
-
-template<class Archive>
-void serialize(Archive &archive, Answer &answer)
-{
-    archive(answer.status_, answer.body_, answer.retryAfter_);
-}
-
-}
-
 namespace bergamotwick::node {
 
 namespace {
@@ -43,18 +27,18 @@
     ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait));
 }
 
-Result<platform::Answer> askEntry(const Address &address, const platform::Call &call)
+Result<std::string> askEntry(const Address &address, const platform::Call &call)
 {
     BOOST_LEAF_AUTO(socket, connectTcp(address, connectTimeout));
     limitWaits(socket);
-    if (writeFrame(socket, batch::encodeAs(batch::Kind::ForwardedCall, call)) != FrameWrite::Whole) {
+    if (writeFrame(socket, encode(call)) != FrameWrite::Whole) {
         return leaf::new_error(SocketError{errno});
     }
-    const auto frame = readFrame(socket, maxFrame);
+    auto frame = readFrame(socket, maxFrame);
     if (!frame) {
         return leaf::new_error(SocketError{ETIMEDOUT});
     }
-    return batch::decodeAs<platform::Answer>(batch::Kind::ForwardedAnswer, *frame);
+    return std::move(*frame);
 }
 
 }
@@ -81,7 +65,9 @@
     const auto chosen = std::next(entries.begin(), static_cast<std::ptrdiff_t>(turn_++ % entries.size()));
     return leaf::try_handle_all(
         [&]() -> Result<std::optional<platform::Answer>> {
-            BOOST_LEAF_AUTO(answer, askEntry(forwardAddress(chosen->second), call));
+            BOOST_LEAF_AUTO(frame, askEntry(forwardAddress(chosen->second), call));
+            platform::Answer answer;
+            BOOST_LEAF_ASSIGN(answer, decodeAnswer(frame));
             logEvent(LogLevel::Info, "call-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"status", answer.status_}});
             return std::optional<platform::Answer>(std::move(answer));
         },
@@ -129,9 +115,10 @@
     }
     leaf::try_handle_all(
         [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(call, batch::decodeAs<platform::Call>(batch::Kind::ForwardedCall, *frame));
+            platform::Call call;
+            BOOST_LEAF_ASSIGN(call, decodeCall(*frame));
             call.forwarded_ = true;
-            (void)writeFrame(socket, batch::encodeAs(batch::Kind::ForwardedAnswer, handler_(call)));
+            (void)writeFrame(socket, encode(handler_(call)));
             return {};
         },
         [](const WireError &error) {
--- /dev/null
+++ b/tests/unit/batch_agent_test.cpp
@@ -0,0 +1,156 @@
+#include "core/batch/agent.h"
+
+#include "support/expect.h"
+
+#include <algorithm>
+
+namespace bergamotwick::test {
+
+namespace {
+
+const batch::RunId run{{JobId("job"), 0, 0, 0}, 1};
+
+/// An agent with a leader and an executor that has told its lists.
+class AgentBench
+{
+public:
+    AgentBench()
+    {
+        batch::HeartbeatSeen beat;
+        beat.executor_.life_ = {ExecutorId("x"), 5'000, ""};
+        beat.sequence_ = 1;
+        (void)step({beat});
+        (void)step({directive()});
+        answerHold({});
+    }
+
+    std::vector<batch::AgentOutput> step(const std::vector<batch::AgentInput> &inputs)
+    {
+        return agent_.step(now_, inputs);
+    }
+
+    void pass(Duration length)
+    {
+        now_ += length;
+    }
+
+    [[nodiscard]] batch::Directive directive() const
+    {
+        batch::Directive directive;
+        directive.epoch_ = 7;
+        directive.echoSentAt_ = now_.time_since_epoch();
+        directive.permit_ = true;
+        directive.life_ = {ExecutorId("x"), 5'000, "host"};
+        return directive;
+    }
+
+    void answerHold(std::vector<batch::RunningTask> running)
+    {
+        const batch::HoldCall call = agent_.nextHold(now_);
+        batch::HoldAnswered answer;
+        answer.sentAt_ = now_;
+        answer.epoch_ = call.epoch_;
+        answer.born_ = 5'000;
+        answer.clock_ = 1s;
+        answer.running_ = std::move(running);
+        (void)step({answer});
+    }
+
+    [[nodiscard]] batch::HoldCall hold()
+    {
+        return agent_.nextHold(now_);
+    }
+
+    template<class Output>
+    [[nodiscard]] static std::size_t count(const std::vector<batch::AgentOutput> &outputs)
+    {
+        return static_cast<std::size_t>(std::count_if(outputs.begin(), outputs.end(), [](const auto &any) { return std::holds_alternative<Output>(any); }));
+    }
+
+private:
+    Instant now_{std::chrono::hours(1)};
+    batch::AgentCore agent_{"host", 400ms};
+};
+
+}
+
+/// What the process beside an executor decides.
+class BatchAgentTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchAgentTest);
+    CPPUNIT_TEST(unansweredStopIsRepeatedAfterAPause);
+    CPPUNIT_TEST(unansweredStartIsRepeatedAfterAPause);
+    CPPUNIT_TEST(staleDirectiveStartsNothing);
+    CPPUNIT_TEST(lowerEpochIsIgnored);
+    CPPUNIT_TEST(leasesEndWithoutTheLeadersWord);
+    CPPUNIT_TEST(cursorGoesOnlyToALifeThatHasJustAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void unansweredStopIsRepeatedAfterAPause()
+    {
+        AgentBench bench;
+        batch::Directive stop = bench.directive();
+        stop.stops_ = {run};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStop>(bench.step({stop})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStop>(bench.step({batch::StopAnswered{run, batch::OrderAnswer::Unknown}})));
+        bench.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStop>(bench.step({})));
+        bench.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStop>(bench.step({})));
+    }
+
+    void unansweredStartIsRepeatedAfterAPause()
+    {
+        AgentBench bench;
+        batch::Directive start = bench.directive();
+        start.starts_ = {{run, "spec", "", ""}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStart>(bench.step({start})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(bench.step({batch::StartAnswered{run, batch::OrderAnswer::Unknown, ""}})));
+        bench.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStart>(bench.step({})));
+    }
+
+    void staleDirectiveStartsNothing()
+    {
+        AgentBench bench;
+        batch::Directive start = bench.directive();
+        start.starts_ = {{run, "spec", "", ""}};
+        bench.pass(2'500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(bench.step({start})));
+    }
+
+    void lowerEpochIsIgnored()
+    {
+        AgentBench bench;
+        batch::Directive start = bench.directive();
+        start.epoch_ = 6;
+        start.starts_ = {{run, "spec", "", ""}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(bench.step({start})));
+    }
+
+    void leasesEndWithoutTheLeadersWord()
+    {
+        AgentBench bench;
+        CPPUNIT_ASSERT(bench.hold().leaseEnd_.has_value());
+        bench.pass(6'600ms);
+        CPPUNIT_ASSERT(!bench.hold().leaseEnd_.has_value());
+    }
+
+    void cursorGoesOnlyToALifeThatHasJustAnswered()
+    {
+        AgentBench bench;
+        batch::Directive acknowledging = bench.directive();
+        acknowledging.acknowledged_ = 3;
+        (void)bench.step({acknowledging});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, bench.hold().acknowledged_);
+        (void)bench.step({batch::HoldFailed{false}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.hold().acknowledged_);
+        bench.answerHold({});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, bench.hold().acknowledged_);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchAgentTest);
+
+}
