--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -158,7 +158,8 @@
             breaches_.push_back("LOST: " + path + " is cancelled though nobody asked for it");
             finals_[path] = state;
         } else {
-            open.push_back(path + " " + state);
+            open.push_back(path);
+            open.back().append(" ").append(state);
         }
     }
     return open;
