--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -412,7 +412,7 @@
             continue;
         }
         board.decide(
-            "run-stop",
+            "stop-wanted",
             {{"run", toString(each)}, {"reason", reason}, {"executor", run->second.place_.executor_.str()}, {"percent", std::to_string(run->second.percent_)}});
         if (run->second.phase_ == RunPhase::Committing) {
             removeRun(board, each); // no order has left
