Read regular files only, and bound what aliases multiply to

Cause: `bergamotwick check` opened whatever *.yaml named, and a pipe without a writer never opens. A file of nested aliases was walked until it came to 50,000 settings; each list erased its former elements by a walk over all settings, and lists without elements never came to the bound: 85 s for nine levels of nine.

Now a file that isn't regular is refused with its name, a walk ends at 100,000 nodes, and a list erases a range. Tests: onlyRegularFilesAreRead, aliasesMultiplyWithinBounds failed first; laterListReplacesTheEarlierWhole guards the range.

--- a/src/config/settings_tree.cpp
+++ b/src/config/settings_tree.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t maxDocumentBytes = 786'432; // the service holds values up to a megabyte
 constexpr std::size_t maxSettings = 50'000;
+constexpr std::size_t maxNodes = 100'000; ///< walked in one file; aliases multiply them, also where no setting comes of it
 constexpr int maxDepth = 16;
 
 Source sourceOf(const std::string &file, const YAML::Mark &mark)
@@ -41,6 +42,9 @@
 
     Result<void> node(const std::string &path, const YAML::Node &node, int depth)
     {
+        if (++nodes_ > maxNodes) {
+            return leaf::new_error(ConfigError{ConfigErrc::TooLarge, sourceOf(file_, node.Mark()), path, "at most 100000 nodes, aliases followed"});
+        }
         if (depth > maxDepth) {
             return leaf::new_error(ConfigError{ConfigErrc::TooLarge, sourceOf(file_, node.Mark()), path, "at most 16 levels"});
         }
@@ -75,7 +79,8 @@
 
     Result<void> list(const std::string &path, const YAML::Node &node, int depth)
     {
-        std::erase_if(settings_, [prefix = path + "."](const auto &setting) { return setting.first.starts_with(prefix); });
+        constexpr char afterDot = '.' + 1;
+        settings_.erase(settings_.lower_bound(path + '.'), settings_.lower_bound(path + afterDot));
         std::size_t index = 0;
         for (const auto &item : node) {
             if (auto done = this->node(join(path, std::to_string(index++)), item, depth + 1); !done) {
@@ -105,18 +110,24 @@
 
     SettingsTree::Map &settings_;
     const std::string &file_;
+    std::size_t nodes_ = 0;
 };
 
+/// Reads a regular file only: a pipe might never end, and a device always has more.
 Result<std::string> readFile(const std::filesystem::path &path)
 {
+    const std::string name = path.filename().string();
+    std::error_code error;
+    if (!std::filesystem::is_regular_file(path, error)) {
+        return leaf::new_error(ConfigError{ConfigErrc::UnreadableFile, {name, 1, 1}, name, "a regular file"});
+    }
+    if (std::filesystem::file_size(path, error) == 0) {
+        return std::string();
+    }
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
     if (!file.is_open() || !(text << file.rdbuf())) {
-        std::error_code error;
-        if (std::filesystem::is_regular_file(path, error) && std::filesystem::file_size(path, error) == 0) {
-            return std::string();
-        }
-        return leaf::new_error(ConfigError{ConfigErrc::UnreadableFile, {path.filename().string(), 1, 1}, path.filename().string(), {}});
+        return leaf::new_error(ConfigError{ConfigErrc::UnreadableFile, {name, 1, 1}, name, {}});
     }
     return text.str();
 }
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -4,7 +4,10 @@
 
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace bergamotwick::test {
@@ -55,6 +58,9 @@
 {
     CPPUNIT_TEST_SUITE(ConfigurationTest);
     CPPUNIT_TEST(laterFilesOverrideAndAreRemembered);
+    CPPUNIT_TEST(onlyRegularFilesAreRead);
+    CPPUNIT_TEST(aliasesMultiplyWithinBounds);
+    CPPUNIT_TEST(laterListReplacesTheEarlierWhole);
     CPPUNIT_TEST(unknownKeyNamesTheNearest);
     CPPUNIT_TEST(faultsCarryTheirPlace);
     CPPUNIT_TEST(guaranteesThatCannotAllFitAreRefused);
@@ -80,6 +86,51 @@
         CPPUNIT_ASSERT(config.services_.at(ServiceId("svc")).classes_.at(ClassId("entry")).deadline_ == 2s);
     }
 
+    void onlyRegularFilesAreRead()
+    {
+        const auto folder = std::filesystem::temp_directory_path() / ("bergamotwick-fifo-" + std::to_string(getpid()));
+        std::filesystem::create_directories(folder);
+        CPPUNIT_ASSERT_EQUAL(0, mkfifo((folder / "10-pipe.yaml").c_str(), 0600));
+        const std::string pipe = (folder / "10-pipe.yaml").string();
+        std::jthread writer([&pipe] { std::ofstream(pipe) << "a: 1\n"; }); // lets a reader that does open the pipe come to an end
+        const auto fault = errorOf<ConfigError>([&] { return SettingsTree::readFolder(folder.string()); });
+        const int release = open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+        writer.join();
+        close(release);
+        std::filesystem::remove_all(folder);
+        CPPUNIT_ASSERT(fault.code_ == ConfigErrc::UnreadableFile);
+        CPPUNIT_ASSERT_EQUAL(std::string("10-pipe.yaml"), fault.where_.file_);
+    }
+
+    void aliasesMultiplyWithinBounds()
+    {
+        for (const std::string leaf : {"x", "[]"}) {
+            std::string bomb = "l0: &l0 [" + leaf + "]\n";
+            for (int level = 1; level < 9; ++level) {
+                const std::string below = "*l" + std::to_string(level - 1);
+                bomb += "l" + std::to_string(level) + ": &l" + std::to_string(level) + " [";
+                for (int copy = 0; copy < 9; ++copy) {
+                    bomb += (copy > 0 ? "," : "") + below;
+                }
+                bomb += "]\n";
+            }
+            CPPUNIT_ASSERT(errorOf<ConfigError>([&]() -> Result<SettingsTree> {
+                               SettingsTree tree;
+                               BOOST_LEAF_CHECK(tree.merge("bomb.yaml", bomb));
+                               return tree;
+                           }).code_
+                           == ConfigErrc::TooLarge);
+        }
+    }
+
+    void laterListReplacesTheEarlierWhole()
+    {
+        const SettingsTree tree = treeOf({{"1.yaml", "a: [1, 2, [3, 4]]\na-b: 5\nab: 6\n"}, {"2.yaml", "a: [7]\n"}});
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), tree.find("a.0")->value_);
+        CPPUNIT_ASSERT(!tree.find("a.1") && !tree.find("a.2.0") && !tree.find("a.2.1"));
+        CPPUNIT_ASSERT(tree.find("a-b") && tree.find("ab"));
+    }
+
     void unknownKeyNamesTheNearest()
     {
         const ConfigError error = faultOf("services:\n  svc:\n    classes:\n      entry: {wieght: 5}\n");
