Fill small data centres first, so that the largest keeps room for wide gangs

Now the one with the fewest open workers wins.

Test: largestDataCentreIsKeptForWideGangs failed first.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -186,15 +186,17 @@
     return search.anywhere();
 }
 
-/// Less is better: fewer workers, then less room left beside the gang.
-std::pair<std::size_t, std::int32_t> cost(const Fleet &fleet, const Demand &demand, const Block &block)
+/// Less is better: fewer workers, then less room left beside the gang, then fewer open workers in its data centre: the largest is the last
+/// that holds wide gangs.
+std::tuple<std::size_t, std::int32_t, std::size_t> cost(const Fleet &fleet, const Demand &demand, const Block &block)
 {
     std::int32_t left = 0;
     for (const Member &member : block) {
         const Worker &worker = fleet.worker(member.worker_);
         left += worker.room(demand.lane_).accelerators_ - demand.each_.accelerators_ * member.tasks_ + worker.reserved_.accelerators_;
     }
-    return {block.size(), left};
+    const DataCentreIndex dataCentre = fleet.worker(block.front().worker_).dataCentre_;
+    return {block.size(), left, fleet.byRoom(demand.lane_, dataCentre).size()};
 }
 
 std::optional<Block> blockFit(const Fleet &fleet, const Demand &demand)
--- a/tests/unit/scheduling_test.cpp
+++ b/tests/unit/scheduling_test.cpp
@@ -55,6 +55,7 @@
 {
     CPPUNIT_TEST_SUITE(SchedulingTest);
     CPPUNIT_TEST(smallWorkKeepsLargeBlocksWhole);
+    CPPUNIT_TEST(largestDataCentreIsKeptForWideGangs);
     CPPUNIT_TEST(adjacencyIsKept);
     CPPUNIT_TEST(firmWorkStaysOutOfReservations);
     CPPUNIT_TEST(closedWorkersTakeNothing);
@@ -77,6 +78,21 @@
         CPPUNIT_ASSERT(findBlock(fleet, {3, {1, 100, 8}, Adjacency::DataCentre, Lane::Free, nullptr}, BlockFit{}));
     }
 
+    void largestDataCentreIsKeptForWideGangs()
+    {
+        Fleet fleet;
+        for (int i = 0; i < 5; ++i) {
+            const std::string dataCentre = i < 3 ? "large" : "small";
+            fleet.setAlive(fleet.upsert(WorkerId(std::to_string(i)), DataCentreId(dataCentre), RackId(dataCentre), {60, 100'000, 8}), true);
+        }
+        for (int i = 0; i < 2; ++i) {
+            const auto block = findBlock(fleet, {1, {1, 100, 8}, Adjacency::Worker, Lane::Free, nullptr}, BlockFit{});
+            CPPUNIT_ASSERT(block);
+            fleet.use(block->front().worker_, Tenure::Borrowed, {1, 100, 8});
+        }
+        CPPUNIT_ASSERT(findBlock(fleet, {3, {1, 100, 8}, Adjacency::DataCentre, Lane::Free, nullptr}, BlockFit{}));
+    }
+
     void adjacencyIsKept()
     {
         const Fleet fleet = fleetOf(12, 2);
