--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -142,6 +142,19 @@
     return *this;
 }
 
+void limitSilence(const Socket &socket, const SilenceLimits &limits)
+{
+    const auto set = [&socket](int option, Duration limit) {
+        const auto whole = std::chrono::duration_cast<std::chrono::seconds>(limit);
+        const timeval wait{whole.count(), (limit - whole).count()};
+        ::setsockopt(socket.descriptor(), SOL_SOCKET, option, &wait, sizeof(wait));
+    };
+    set(SO_RCVTIMEO, limits.receive_);
+    set(SO_SNDTIMEO, limits.send_);
+    const auto milliseconds = static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(limits.unacknowledged_).count());
+    ::setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
 void Socket::shutdown() const noexcept
 {
     ::shutdown(descriptor_, SHUT_RDWR);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -78,6 +78,17 @@
     int descriptor_ = -1;
 };
 
+/// After how long a silent peer counts as gone.
+struct SilenceLimits
+{
+    Duration receive_{}; ///< without a byte, while one is waited for
+    Duration send_{}; ///< without room for a byte
+    Duration unacknowledged_{}; ///< of bytes sent; ends the connection
+};
+
+/// Makes reads and writes on \p socket fail instead of waiting longer. Precondition: valid().
+void limitSilence(const Socket &socket, const SilenceLimits &limits);
+
 /// Opens a UDP socket on \p address. Errors: SocketError.
 [[nodiscard]] Result<Socket> openUdp(const Address &address);
 
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -33,8 +33,8 @@
 /// Calls to the executor that may be under way at once; one that isn't answered must not hold the others up.
 constexpr int orderThreads = 2;
 
-/// The leader answers each report; a connection that is silent for this long is dead.
-constexpr std::chrono::seconds silence{2};
+/// The leader answers each report.
+constexpr SilenceLimits silence{2s, 200ms, 2s};
 
 batch::OrderAnswer answerOf(platform::OrderReply reply)
 {
@@ -232,10 +232,7 @@
     {
         BOOST_LEAF_AUTO(connection, connectTcp(address, connectTimeout));
         const auto socket = std::make_shared<Socket>(std::move(connection));
-        const timeval wait{silence.count(), 0};
-        ::setsockopt(socket->descriptor(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
-        const timeval send{0, 200'000};
-        ::setsockopt(socket->descriptor(), SOL_SOCKET, SO_SNDTIMEO, &send, sizeof(send));
+        limitSilence(*socket, silence);
         logEvent(LogLevel::Info, "leader-connected", {{"address", address.str()}});
         {
             const std::lock_guard lock(leaderMutex_);
--- a/src/node/agent_link.cpp
+++ b/src/node/agent_link.cpp
@@ -15,20 +15,8 @@
 constexpr std::size_t maxFrame = std::size_t{4} * 1024 * 1024;
 constexpr Duration acceptWait = 1s;
 
-/// An agent reports twice a second; a connection that is silent for this long is dead.
-constexpr std::chrono::seconds silence{3};
-
-/// Unacknowledged bytes end the connection after this.
-constexpr unsigned unacknowledgedMs = 2'000;
-
-void limitSilence(const Socket &socket)
-{
-    const timeval wait{silence.count(), 0};
-    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
-    const timeval send{0, 200'000};
-    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDTIMEO, &send, sizeof(send));
-    ::setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unacknowledgedMs));
-}
+/// An agent reports twice a second. A directive that can't be written at once isn't waited for: other agents' are next.
+constexpr SilenceLimits silence{3s, 200ms, 2s};
 
 }
 
@@ -54,7 +42,7 @@
         if (!socket.valid()) {
             continue;
         }
-        limitSilence(socket);
+        limitSilence(socket, silence);
         if (!leading_) {
             redirect(socket);
             continue;
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -20,17 +20,12 @@
 /// Another entry gets this long; its caller still has time to ask elsewhere then.
 constexpr milliseconds patience{900};
 
-void limitWaits(const Socket &socket)
-{
-    const timeval wait{1, 0};
-    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
-    ::setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof(wait));
-}
+constexpr SilenceLimits silence{1s, 1s, 1s};
 
 Result<std::string> askEntry(const Address &address, const platform::Call &call)
 {
     BOOST_LEAF_AUTO(socket, connectTcp(address, connectTimeout));
-    limitWaits(socket);
+    limitSilence(socket, silence);
     if (writeFrame(socket, encode(call)) != FrameWrite::Whole) {
         return leaf::new_error(SocketError{errno});
     }
@@ -108,7 +103,7 @@
 
 void ForwardListener::serve(const Socket &socket) const
 {
-    limitWaits(socket);
+    limitSilence(socket, silence);
     const auto frame = readFrame(socket, maxFrame);
     if (!frame) {
         return;
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "core/batch/codec.h"
 #include "daemon/log.h"
+#include "http_status.h"
 #include "job_codec.h"
 #include "keys.h"
 
@@ -15,15 +16,6 @@
 using batch::milliseconds;
 using platform::Answer;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
-constexpr int statusGone = 410;
-constexpr int statusTooLarge = 413;
-constexpr int statusUnavailable = 503;
-constexpr int statusTimeout = 504;
-
 /// How long a caller waits if it doesn't say.
 constexpr milliseconds usualPatience{3'000};
 
@@ -55,7 +47,7 @@
 
 Answer refusal(int status)
 {
-    return {status, "{}", status == statusUnavailable ? retryLater : std::chrono::seconds(0)};
+    return {status, "{}", status == platform::statusUnavailable ? retryLater : std::chrono::seconds(0)};
 }
 
 }
@@ -106,28 +98,28 @@
 Answer JobService::serveOrForward(const platform::Call &call)
 {
     Answer answer = serve(call);
-    if (answer.status_ != statusUnavailable) {
+    if (answer.status_ != platform::statusUnavailable) {
         return answer;
     }
     const auto elsewhere = forwarder_.forward(call);
-    return elsewhere && elsewhere->status_ != statusUnavailable ? *elsewhere : answer;
+    return elsewhere && elsewhere->status_ != platform::statusUnavailable ? *elsewhere : answer;
 }
 
 Answer JobService::serve(const platform::Call &call)
 {
     const auto view = config_.view();
     if (!view || config_.age() >= keyLimit_) {
-        return refusal(statusUnavailable);
+        return refusal(platform::statusUnavailable);
     }
     const batch::ClusterConfig &config = view->config_;
     Request request;
     request.queue_ = config.route(call.host_, call.path_);
     if (request.queue_ == nullptr) {
-        return refusal(statusNotFound);
+        return refusal(platform::statusNotFound);
     }
     const batch::Workspace *workspace = config.workspaceOfKey(call.key_);
     if (workspace == nullptr && !request.queue_->open_) {
-        return refusal(statusUnauthorized);
+        return refusal(platform::statusUnauthorized);
     }
     if (workspace != nullptr) {
         request.workspace_ = workspace->name_;
@@ -139,11 +131,11 @@
         return pending(request);
     }
     if (!platform::isJobId(request.id_)) {
-        return refusal(call.method_ == platform::CallMethod::Submit ? statusBadRequest : statusGone);
+        return refusal(call.method_ == platform::CallMethod::Submit ? platform::statusBadRequest : platform::statusGone);
     }
     switch (call.method_) {
     case platform::CallMethod::Submit:
-        return config.maxBodyBytes_ > 0 && call.body_.size() > config.maxBodyBytes_ ? refusal(statusTooLarge) : submit(request, call);
+        return config.maxBodyBytes_ > 0 && call.body_.size() > config.maxBodyBytes_ ? refusal(platform::statusTooLarge) : submit(request, call);
     case platform::CallMethod::Cancel:
         return cancel(request);
     case platform::CallMethod::Read:
@@ -160,13 +152,13 @@
     return leaf::try_handle_all(
         [&]() -> Result<std::optional<Answer>> {
             BOOST_LEAF_AUTO(job, store_.get(keys::jobs + request.id_, std::min(request.timeout(), probeTimeout)));
-            return job ? std::optional<Answer>(refusal(statusOk)) : std::nullopt;
+            return job ? std::optional<Answer>(refusal(platform::statusOk)) : std::nullopt;
         },
         [&](const StoreError &error) -> std::optional<Answer> {
             logEvent(LogLevel::Warning, "job-refused", {{"job", request.id_}, {"reason", "store-away"}, {"error", toString(error.code_)}});
-            return refusal(statusUnavailable);
+            return refusal(platform::statusUnavailable);
         },
-        []() -> std::optional<Answer> { return refusal(statusUnavailable); });
+        []() -> std::optional<Answer> { return refusal(platform::statusUnavailable); });
 }
 
 Answer JobService::submit(const Request &request, const platform::Call &call)
@@ -183,7 +175,7 @@
         },
         [] { return false; });
     if (!readable) {
-        return refusal(statusBadRequest);
+        return refusal(platform::statusBadRequest);
     }
     if (const auto known = checkStore(request)) {
         return *known;
@@ -205,24 +197,24 @@
                 logEvent(LogLevel::Info,
                          "job-stored",
                          {{"job", request.id_}, {"queue", request.queue_->name_}, {"new", result.applied_}, {"revision", result.revision_}});
-                return statusOk;
+                return platform::statusOk;
             },
             [&](const StoreError &error) {
                 mayBeStored = mayBeStored || error.code_ == StoreErrc::Ambiguous || error.code_ == StoreErrc::BadReply;
                 logEvent(LogLevel::Warning, "job-not-stored", {{"job", request.id_}, {"error", toString(error.code_)}, {"may_be_stored", mayBeStored}});
-                return mayBeStored ? 0 : statusUnavailable;
+                return mayBeStored ? 0 : platform::statusUnavailable;
             },
             [] { return 0; });
         if (status != 0) {
             return refusal(status);
         }
         const auto elsewhere = forwarder_.forward(call);
-        if (elsewhere && elsewhere->status_ == statusOk) {
+        if (elsewhere && elsewhere->status_ == platform::statusOk) {
             return *elsewhere;
         }
         std::this_thread::sleep_for(retryPause);
     } while (request.left().count() > 0);
-    return refusal(statusTimeout);
+    return refusal(platform::statusTimeout);
 }
 
 Answer JobService::cancel(const Request &request)
@@ -233,14 +225,14 @@
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(found, store_.get(job, request.timeout()));
                 if (!found) {
-                    return statusGone;
+                    return platform::statusGone;
                 }
                 platform::Transaction transaction;
                 transaction.expected_ = {{job, found->revision_}};
                 transaction.puts_ = {{keys::cancels + request.id_, "", 0}};
                 BOOST_LEAF_AUTO(result, store_.apply(transaction, request.timeout()));
                 logEvent(LogLevel::Info, "cancel-stored", {{"job", request.id_}, {"applied", result.applied_}});
-                return result.applied_ ? statusOk : 0;
+                return result.applied_ ? platform::statusOk : 0;
             },
             [&](const StoreError &error) {
                 logEvent(LogLevel::Warning, "cancel-not-stored", {{"job", request.id_}, {"error", toString(error.code_)}});
@@ -252,7 +244,7 @@
         }
         std::this_thread::sleep_for(retryPause);
     } while (request.left().count() > 0);
-    return refusal(statusTimeout);
+    return refusal(platform::statusTimeout);
 }
 
 Answer JobService::state(const Request &request)
@@ -263,10 +255,10 @@
                 BOOST_LEAF_AUTO(record, store_.get(keys::progress + request.id_, request.timeout()));
                 if (record) {
                     BOOST_LEAF_AUTO(progress, batch::decodeProgress(record->value_));
-                    return Answer{statusOk, platform::encodeState(progress.state_)};
+                    return Answer{platform::statusOk, platform::encodeState(progress.state_)};
                 }
                 BOOST_LEAF_AUTO(job, store_.get(keys::jobs + request.id_, request.timeout()));
-                return job ? Answer{statusOk, platform::encodeState(batch::JobState::Queued)} : refusal(statusGone);
+                return job ? Answer{platform::statusOk, platform::encodeState(batch::JobState::Queued)} : refusal(platform::statusGone);
             },
             [&](const StoreError &error) {
                 logEvent(LogLevel::Warning, "state-unread", {{"job", request.id_}, {"error", toString(error.code_)}});
@@ -274,15 +266,15 @@
             },
             [&](const WireError &error) {
                 logEvent(LogLevel::Error, "progress-unreadable", {{"job", request.id_}, {"error", toString(error.code_)}});
-                return refusal(statusUnavailable);
+                return refusal(platform::statusUnavailable);
             },
-            [] { return refusal(statusUnavailable); });
+            [] { return refusal(platform::statusUnavailable); });
         if (answer.status_ != 0) {
             return answer;
         }
         std::this_thread::sleep_for(retryPause);
     } while (request.left().count() > 0);
-    return refusal(statusUnavailable);
+    return refusal(platform::statusUnavailable);
 }
 
 Answer JobService::pending(const Request &request)
@@ -310,13 +302,13 @@
             for (const platform::Item &item : records.items_) {
                 waiting.erase(item.key_.substr(keys::progress.size()));
             }
-            return Answer{statusOk, platform::encodePending(waiting.size())};
+            return Answer{platform::statusOk, platform::encodePending(waiting.size())};
         },
         [](const StoreError &error) {
             logEvent(LogLevel::Warning, "pending-unread", {{"error", toString(error.code_)}});
-            return refusal(statusUnavailable);
+            return refusal(platform::statusUnavailable);
         },
-        [] { return refusal(statusUnavailable); });
+        [] { return refusal(platform::statusUnavailable); });
 }
 
 }
