Try failed tasks again where nothing speaks against the executor

Now an executor is suspect for 6 s from a failure until a task ends well; it comes last for all work, and a task that has failed waits up to 1.4 s for another. The last attempt waits 0.7 s for one on which a task ended well in the last 10 s.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -85,6 +85,8 @@
     std::int64_t acknowledged_ = 0;
     std::vector<RunId> orphans_; ///< at work there without a record that says so
     std::set<JobId> failedJobs_; ///< jobs that failed here since the last task ended well
+    Instant failedAt_{}; ///< when a task last failed here
+    Instant doneAt_{}; ///< when a task last ended well here
     Instant asideUntil_{};
 
     /// Returns the rack that the executor's labels name, or an empty text.
--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -10,6 +10,14 @@
 constexpr std::size_t failedJobsToSetAside = 2;
 constexpr milliseconds asideLength{6'000};
 
+/// For how long a failure makes an executor suspect, and a good end vouches for it.
+constexpr milliseconds suspicionLength{6'000};
+constexpr milliseconds proofLength{10'000};
+
+/// How long a task waits for a proven executor, and then for one that isn't suspect.
+constexpr milliseconds provenPatience{700};
+constexpr milliseconds trustPatience{1'400};
+
 /// At most one executor in this many is set aside.
 constexpr std::size_t oneAsideOf = 3;
 
@@ -33,6 +41,17 @@
     return count;
 }
 
+bool isShunned(const Job &job, std::size_t index, const ExecutorId &executor)
+{
+    const auto avoided = job.avoid_.find(index);
+    return avoided != job.avoid_.end() && avoided->second.contains(executor);
+}
+
+bool isProven(const Board &board, const Executor &executor)
+{
+    return executor.doneAt_ > executor.failedAt_ && board.now_ - executor.doneAt_ < proofLength;
+}
+
 }
 
 void shun(const Board &board, Job &job, const Group &group, std::size_t index, const ExecutorId &executor)
@@ -47,10 +66,25 @@
     }
 }
 
-bool isShunned(const Job &job, std::size_t index, const ExecutorId &executor)
+bool isSuspect(const Board &board, const Executor &executor)
 {
-    const auto avoided = job.avoid_.find(index);
-    return avoided != job.avoid_.end() && avoided->second.contains(executor);
+    return executor.failedAt_ > executor.doneAt_ && board.now_ - executor.failedAt_ < suspicionLength;
+}
+
+bool mayTake(const Board &board, const WaitingGroup &group, std::size_t index, const Executor &executor)
+{
+    const Job &job = *group.job_;
+    if (isShunned(job, index, executor.facts_.life_.executor_)) {
+        return false;
+    }
+    const std::size_t failures = job.progress_.tasks_[index].failedRuns_.size();
+    const auto since = job.waitingSince_.find(group.group_.first_);
+    const Duration waited = since == job.waitingSince_.end() ? Duration(0) : board.now_ - since->second;
+    if (failures == 0 || waited > trustPatience) {
+        return true;
+    }
+    const bool last = failures + 1 >= static_cast<std::size_t>(job.maxAttempts_);
+    return last && waited <= provenPatience ? isProven(board, executor) : !isSuspect(board, executor);
 }
 
 void forgetShunnedIfNeeded(Board &board, Job &job, const Group &group, const std::vector<Executor *> &candidates)
@@ -74,6 +108,7 @@
 
 void noteFailure(Board &board, Executor &executor, const JobId &job)
 {
+    executor.failedAt_ = board.now_;
     executor.failedJobs_.insert(job);
     if (executor.failedJobs_.size() >= failedJobsToSetAside) {
         executor.failedJobs_.clear();
--- a/src/core/batch/health.h
+++ b/src/core/batch/health.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/batch/board.h"
+#include "core/batch/queueing.h"
 
 namespace bergamotwick::batch {
 
@@ -10,8 +10,13 @@
 /// Keeps the task at \p index, and with it the other members of its gang, off \p executor.
 void shun(const Board &board, Job &job, const Group &group, std::size_t index, const ExecutorId &executor);
 
-/// Returns whether the task at \p index is kept off \p executor. Thread-safe on const objects.
-[[nodiscard]] bool isShunned(const Job &job, std::size_t index, const ExecutorId &executor);
+/// Returns whether a task of \p group may go to \p executor: it doesn't shun it, and if it has failed before, the executor is none on
+/// which something failed since a task last ended well. The last attempt is made where a task has ended well lately. A group that has
+/// waited long enough for such an executor takes any.
+[[nodiscard]] bool mayTake(const Board &board, const WaitingGroup &group, std::size_t index, const Executor &executor);
+
+/// Returns whether something failed on \p executor lately, and no task has ended well there since.
+[[nodiscard]] bool isSuspect(const Board &board, const Executor &executor);
 
 /// Lets a group's tasks onto the executors they shun if the other \p candidates could not hold them even when empty.
 void forgetShunnedIfNeeded(Board &board, Job &job, const Group &group, const std::vector<Executor *> &candidates);
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -17,22 +17,24 @@
 class Draft
 {
 public:
-    Draft(const std::vector<Executor *> &executors, const WaitingGroup &group)
-        : group_(group)
+    Draft(const Board &board, const std::vector<Executor *> &executors, const WaitingGroup &group)
+        : board_(board)
+        , group_(group)
     {
         for (const Executor *executor : executors) {
-            places_.push_back({executor, freeRoom(*executor, group.job_->submission_.id_, group.group_.first_), allowance(*executor, group)});
+            const Room free = freeRoom(*executor, group.job_->submission_.id_, group.group_.first_);
+            places_.push_back({executor, free, allowance(*executor, group), isSuspect(board, *executor)});
         }
     }
 
-    /// Takes the fullest place that fits \p task; preferred racks come first. Returns nothing if none fits.
+    /// Takes the fullest place that fits \p task; suspect executors come last, the preferred rack first. Returns nothing if none fits.
     [[nodiscard]] const Executor *take(std::size_t task, const std::string &rack, bool onlyRack)
     {
         const Room each = step().counted();
         Place *best = nullptr;
         for (Place &place : places_) {
-            const bool shunned = isShunned(*group_.job_, task, place.executor_->facts_.life_.executor_);
-            if (!place.free_.covers(each) || place.allowance_ == 0 || shunned || (onlyRack && place.executor_->rack() != rack)) {
+            const bool fits = place.free_.covers(each) && place.allowance_ > 0 && (!onlyRack || place.executor_->rack() == rack);
+            if (!fits || !mayTake(board_, group_, task, *place.executor_)) {
                 continue;
             }
             if (best == nullptr || isBetter(place, *best, rack)) {
@@ -53,6 +55,7 @@
         const Executor *executor_ = nullptr;
         Room free_;
         std::uint32_t allowance_ = 0;
+        bool suspect_ = false;
     };
 
     [[nodiscard]] const Step &step() const
@@ -62,6 +65,9 @@
 
     [[nodiscard]] static bool isBetter(const Place &left, const Place &right, const std::string &rack)
     {
+        if (left.suspect_ != right.suspect_) {
+            return right.suspect_;
+        }
         const bool leftNear = left.executor_->rack() == rack;
         const bool rightNear = right.executor_->rack() == rack;
         if (leftNear != rightNear) {
@@ -73,14 +79,15 @@
         return left.free_.memoryMb_ < right.free_.memoryMb_;
     }
 
+    const Board &board_;
     const WaitingGroup &group_;
     std::vector<Place> places_;
 };
 
 /// Places as many tasks as fit, on \p rack only if \p onlyRack.
-Placement fill(const std::vector<Executor *> &executors, const WaitingGroup &group, const std::string &rack, bool onlyRack)
+Placement fill(const Board &board, const std::vector<Executor *> &executors, const WaitingGroup &group, const std::string &rack, bool onlyRack)
 {
-    Draft draft(executors, group);
+    Draft draft(board, executors, group);
     Placement placement;
     for (const std::size_t task : group.tasks_) {
         const Executor *executor = draft.take(task, rack, onlyRack);
@@ -96,7 +103,7 @@
 {
     Placement best;
     for (const std::string &rack : preferredRacks(group, executors)) {
-        Placement placement = fill(executors, group, rack, true);
+        Placement placement = fill(board, executors, group, rack, true);
         if (placement.size() > best.size()) {
             best = std::move(placement);
         }
@@ -107,7 +114,7 @@
     if (!mayLeaveRack(board, group)) {
         return best;
     }
-    return fill(executors, group, group.job_->submission_.steps_[group.group_.step_].affinity_, false);
+    return fill(board, executors, group, group.job_->submission_.steps_[group.group_.step_].affinity_, false);
 }
 
 Placement findPlacement(Board &board, const WaitingGroup &group)
@@ -115,7 +122,7 @@
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
     const std::vector<Executor *> executors = candidates(board, group);
     forgetShunnedIfNeeded(board, *group.job_, group.group_, executors);
-    Placement placement = prefersRack(step) ? fillNear(board, executors, group) : fill(executors, group, "", false);
+    Placement placement = prefersRack(step) ? fillNear(board, executors, group) : fill(board, executors, group, "", false);
     if (step.gang_ && placement.size() < group.tasks_.size()) {
         placement.clear();
     }
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -227,11 +227,12 @@
     std::int64_t lost_ = 0;
 };
 
-Offer cheapestOffer(std::vector<Site> &sites, const Job &job, std::size_t task, const Room &each)
+Offer cheapestOffer(const Board &board, std::vector<Site> &sites, const WaitingGroup &group, std::size_t task)
 {
+    const Room each = group.job_->submission_.steps_[group.group_.step_].counted();
     Offer best;
     for (Site &site : sites) {
-        const bool open = site.allowance_ > 0 && !isShunned(job, task, site.executor_->facts_.life_.executor_);
+        const bool open = site.allowance_ > 0 && mayTake(board, group, task, *site.executor_);
         const auto count = open ? victimsNeeded(site, each) : std::nullopt;
         if (!count) {
             continue;
@@ -247,14 +248,14 @@
     return best;
 }
 
-std::optional<Plan> planOn(const std::vector<Site> &sites, const WaitingGroup &group)
+std::optional<Plan> planOn(const Board &board, const std::vector<Site> &sites, const WaitingGroup &group)
 {
     const Room each = group.job_->submission_.steps_[group.group_.step_].counted();
     std::vector<Site> open = sites;
     std::vector<Victim> victims;
     Plan plan;
     for (const std::size_t task : group.tasks_) {
-        const Offer offer = cheapestOffer(open, *group.job_, task, each);
+        const Offer offer = cheapestOffer(board, open, group, task);
         if (offer.site_ == nullptr) {
             return std::nullopt;
         }
@@ -272,7 +273,7 @@
 }
 
 /// Returns the plan that loses least on one of the racks where the group runs at full speed.
-std::optional<Plan> cheapestNearPlan(const std::vector<Site> &sites, const WaitingGroup &group)
+std::optional<Plan> cheapestNearPlan(const Board &board, const std::vector<Site> &sites, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
     std::map<std::string, std::vector<Site>> racks;
@@ -283,7 +284,7 @@
     }
     std::optional<Plan> best;
     for (const auto &[rack, members] : racks) {
-        auto plan = planOn(members, group);
+        auto plan = planOn(board, members, group);
         if (plan && (!best || plan->lost_ < best->lost_)) {
             best = std::move(plan);
         }
@@ -294,11 +295,11 @@
 /// Weighs what a plan near the group's data or gang throws away against the time that the group would take longer elsewhere.
 std::optional<Plan> cheapestPlan(const Board &board, const std::vector<Site> &sites, const WaitingGroup &group)
 {
-    auto anywhere = planOn(sites, group);
+    auto anywhere = planOn(board, sites, group);
     if (!prefersRack(group.job_->submission_.steps_[group.group_.step_])) {
         return anywhere;
     }
-    auto near = cheapestNearPlan(sites, group);
+    auto near = cheapestNearPlan(board, sites, group);
     const auto longer = static_cast<std::int64_t>(static_cast<double>(ownWork(group)) * (board.limits_.spreadFactor_ - 1));
     const bool worthIt = near && (!anywhere || near->lost_ <= anywhere->lost_ + longer);
     return worthIt ? near : anywhere;
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -101,6 +101,7 @@
     removeRun(board, run);
     if (end.how_ == EndKind::Done && !longRunning) {
         executor.failedJobs_.clear();
+        executor.doneAt_ = board.now_;
         applyDone(board, job, run, index);
     } else if (end.how_ == EndKind::Failed) {
         noteFailure(board, executor, job.submission_.id_);
@@ -283,6 +284,8 @@
         executor.pendingEnds_.clear();
         executor.acknowledged_ = 0;
         executor.failedJobs_.clear();
+        executor.failedAt_ = Instant();
+        executor.doneAt_ = Instant();
         executor.asideUntil_ = Instant();
         board.decide("executor-seen",
                      {{"executor", report.executor_.life_.executor_.str()},
