Judge runs when their executor has reported, not in every step

What a run is judged by changes with its executor's report only, so that is when it is judged now; the check for silent agents falls away with it. And a group's candidates are found once, not again for clearing room; the waiting time is looked up only for tasks that failed.

--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -78,9 +78,12 @@
         return false;
     }
     const std::size_t failures = job.progress_.tasks_[index].failedRuns_.size();
+    if (failures == 0) {
+        return true;
+    }
     const auto since = job.waitingSince_.find(group.group_.first_);
     const Duration waited = since == job.waitingSince_.end() ? Duration(0) : board.now_ - since->second;
-    if (failures == 0 || waited > trustPatience) {
+    if (waited > trustPatience) {
         return true;
     }
     const bool last = failures + 1 >= static_cast<std::size_t>(job.maxAttempts_);
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -99,7 +99,7 @@
 }
 
 /// Places a group that is slower away from its rack, or when it is spread over racks.
-Placement fillNear(Board &board, const std::vector<Executor *> &executors, const WaitingGroup &group)
+Placement fillNear(const Board &board, const std::vector<Executor *> &executors, const WaitingGroup &group)
 {
     Placement best;
     for (const std::string &rack : preferredRacks(group, executors)) {
@@ -117,11 +117,9 @@
     return fill(board, executors, group, group.job_->submission_.steps_[group.group_.step_].affinity_, false);
 }
 
-Placement findPlacement(Board &board, const WaitingGroup &group)
+Placement findPlacement(const Board &board, const std::vector<Executor *> &executors, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
-    const std::vector<Executor *> executors = candidates(board, group);
-    forgetShunnedIfNeeded(board, *group.job_, group.group_, executors);
     Placement placement = prefersRack(step) ? fillNear(board, executors, group) : fill(board, executors, group, "", false);
     if (step.gang_ && placement.size() < group.tasks_.size()) {
         placement.clear();
@@ -238,11 +236,13 @@
     }
     for (const WaitingGroup &group : waitingGroups(board)) {
         group.job_->waitingSince_.try_emplace(group.group_.first_, board.now_);
-        Placement placement = findPlacement(board, group);
+        const std::vector<Executor *> executors = candidates(board, group);
+        forgetShunnedIfNeeded(board, *group.job_, group.group_, executors);
+        const Placement placement = findPlacement(board, executors, group);
         if (!placement.empty()) {
             assign(board, group, placement);
         } else if (group.job_->priority_ == 0 && board.hasHeard()) {
-            clearRoom(board, group);
+            clearRoom(board, group, executors);
         }
     }
 }
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -307,7 +307,7 @@
 
 }
 
-void clearRoom(Board &board, const WaitingGroup &group)
+void clearRoom(Board &board, const WaitingGroup &group, const std::vector<Executor *> &executors)
 {
     Job &job = *group.job_;
     const auto reserved = job.reservations_.find(group.group_.first_);
@@ -321,7 +321,7 @@
     const auto waited = std::chrono::duration_cast<milliseconds>(board.now_ - job.acceptedAt_);
     const milliseconds horizon = std::max(milliseconds(0), guaranteedPatience - waited);
     std::vector<Site> sites;
-    for (Executor *executor : candidates(board, group)) {
+    for (Executor *executor : executors) {
         sites.push_back(siteOf(board, *executor, group, horizon));
     }
     const auto plan = cheapestPlan(board, sites, group);
--- a/src/core/batch/stalls.cpp
+++ b/src/core/batch/stalls.cpp
@@ -128,13 +128,11 @@
     return left > executor.facts_.remaining_;
 }
 
-std::optional<StuckReason> whyStuck(const Board &board, const Run &run)
+std::optional<StuckReason> whyStuck(const Board &board, const Run &run, const Executor &executor)
 {
-    const auto found = board.executors_.find(run.place_.executor_);
-    if (run.phase_ != RunPhase::Running || found == board.executors_.end() || board.now_ - found->second.lastReport_ > silenceLimit) {
+    if (run.phase_ != RunPhase::Running) {
         return std::nullopt;
     }
-    const Executor &executor = found->second;
     const Step &step = board.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_];
     const bool progresses = run.percent_ < partDone && !step.longRunning_ && !step.fills_;
     if (progresses && standsStill(board, run, executor)) {
@@ -160,9 +158,14 @@
 void moveStuckRuns(Board &board)
 {
     std::vector<std::pair<RunId, StuckReason>> stuck;
-    for (const auto &[id, run] : board.runs_) {
-        if (const auto reason = whyStuck(board, run)) {
-            stuck.emplace_back(id, *reason);
+    for (const auto &[name, executor] : board.executors_) {
+        if (executor.lastReport_ != board.now_) {
+            continue;
+        }
+        for (const RunId &id : executor.runs_) {
+            if (const auto reason = whyStuck(board, board.runs_.at(id), executor)) {
+                stuck.emplace_back(id, *reason);
+            }
         }
     }
     for (const auto &[id, reason] : stuck) {
