One place for the tasks that go together, for what fits, and for words to agents

boundTo() replaces the copies in runs, health and stopRun; Group knows its end; Room::timesFits replaces two counting loops; Board::tellAgentOf three look-ups of an agent. Decision serves agent and leader. A gang that may go back where it failed says so in one line of the log, not one per member. Out: the memo in racks, Order of dead fields (listsEpoch_, epoch()), exports that only placing.cpp uses.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -376,7 +376,7 @@
 
 void AgentCore::log(std::string event, std::vector<std::pair<std::string, std::string>> fields)
 {
-    outputs_.emplace_back(AgentLog{std::move(event), std::move(fields)});
+    outputs_.emplace_back(Decision{std::move(event), std::move(fields)});
 }
 
 }
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -89,13 +89,7 @@
     std::int64_t epoch_ = 0;
 };
 
-struct AgentLog
-{
-    std::string event_;
-    std::vector<std::pair<std::string, std::string>> fields_;
-};
-
-using AgentOutput = std::variant<CallStart, CallStop, Report, AgentLog>;
+using AgentOutput = std::variant<CallStart, CallStop, Report, Decision>;
 
 /// What to ask of the executor next.
 struct HoldCall
@@ -120,12 +114,6 @@
     /// Returns the next call for the executor's lists, and notes the lease that it gives.
     [[nodiscard]] HoldCall nextHold(Instant now);
 
-    /// Returns the highest fencing token that this agent obeys.
-    [[nodiscard]] std::int64_t epoch() const noexcept
-    {
-        return epoch_;
-    }
-
 private:
     enum class OrderPhase : std::uint8_t {
         Starting,
@@ -185,7 +173,6 @@
     int failures_ = 0; ///< calls in a row without a usable answer
     bool listsValid_ = false;
     Duration listedAt_{}; ///< when the executor made the lists
-    std::int64_t listsEpoch_ = 0;
     std::vector<RunningTask> running_;
     std::vector<EndedRun> ended_;
     std::map<RunId, Order> orders_;
--- a/src/core/batch/board.cpp
+++ b/src/core/batch/board.cpp
@@ -14,8 +14,8 @@
     std::size_t first = 0;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (std::uint32_t step = 0; step < job.steps_.size(); ++step) {
-            groups.push_back({occurrence, step, first});
-            first += job.steps_[step].count_;
+            groups.push_back({occurrence, step, first, first + job.steps_[step].count_});
+            first = groups.back().last_;
         }
     }
     return groups;
@@ -42,7 +42,13 @@
         before += step < task.step_ ? job.steps_[step].count_ : 0;
         perOccurrence += job.steps_[step].count_;
     }
-    return {task.occurrence_, task.step_, perOccurrence * task.occurrence_ + before};
+    const std::size_t first = perOccurrence * task.occurrence_ + before;
+    return {task.occurrence_, task.step_, first, first + job.steps_[task.step_].count_};
+}
+
+std::pair<std::size_t, std::size_t> boundTo(const Submission &job, const Group &group, std::size_t index)
+{
+    return job.steps_[group.step_].gang_ ? std::pair(group.first_, group.last_) : std::pair(index, index + 1);
 }
 
 std::string toString(const RunId &run)
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -136,6 +136,7 @@
     std::uint32_t occurrence_ = 0;
     std::uint32_t step_ = 0;
     std::size_t first_ = 0; ///< index of its first task in Progress::tasks_
+    std::size_t last_ = 0; ///< one past its last
 };
 
 /// Names a step of one occurrence of a job.
@@ -174,13 +175,6 @@
     bool directiveDue_ = false;
 };
 
-/// One line for the log: a decision or a change of belief.
-struct Decision
-{
-    std::string event_;
-    std::vector<std::pair<std::string, std::string>> fields_;
-};
-
 /// All that the leader knows; its controllers read and write it.
 struct Board
 {
@@ -217,6 +211,15 @@
         return now_ - leaderSince_ > hearingTime;
     }
 
+    /// Sends the agent of \p executor word at the end of this step.
+    void tellAgentOf(const Executor &executor)
+    {
+        const auto agent = agents_.find(executor.agent_);
+        if (agent != agents_.end()) {
+            agent->second.directiveDue_ = true;
+        }
+    }
+
     void decide(std::string event, std::vector<std::pair<std::string, std::string>> fields)
     {
         decisions_.push_back({std::move(event), std::move(fields)});
@@ -235,6 +238,10 @@
 /// Returns the group of \p task. Precondition: indexOf() finds it. Thread-safe.
 [[nodiscard]] Group groupOf(const Submission &job, const TaskId &task);
 
+/// Returns the tasks, as first and one past the last, that start and end with the one at \p index: all of a gang, else it alone.
+/// Thread-safe.
+[[nodiscard]] std::pair<std::size_t, std::size_t> boundTo(const Submission &job, const Group &group, std::size_t index);
+
 /// Returns "JOB.OCCURRENCE.STEP.INDEX/RUN" for the log. Thread-safe.
 [[nodiscard]] std::string toString(const RunId &run);
 
--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -21,24 +21,11 @@
 /// At most one executor in this many is set aside.
 constexpr std::size_t oneAsideOf = 3;
 
-/// Returns the tasks that go where the one at \p index goes: the whole group of a gang, else the task alone.
-std::pair<std::size_t, std::size_t> bound(const Job &job, const Group &group, std::size_t index)
-{
-    const Step &step = job.submission_.steps_[group.step_];
-    return step.gang_ ? std::pair(group.first_, group.first_ + step.count_) : std::pair(index, index + 1);
-}
-
 /// Returns how many tasks of \p step an empty \p executor holds, up to the step's own number.
-std::uint32_t held(const Executor &executor, const Step &step)
+std::int64_t held(const Executor &executor, const Step &step)
 {
     const std::uint32_t most = step.antiAffinity_ > 0 ? std::min(step.antiAffinity_, step.count_) : step.count_;
-    Room room = executor.facts_.capacity_;
-    std::uint32_t count = 0;
-    while (count < most && room.covers(step.counted())) {
-        room -= step.counted();
-        ++count;
-    }
-    return count;
+    return executor.facts_.capacity_.timesFits(step.counted(), most);
 }
 
 bool isShunned(const Job &job, std::size_t index, const ExecutorId &executor)
@@ -56,7 +43,7 @@
 
 void shun(const Board &board, Job &job, const Group &group, std::size_t index, const ExecutorId &executor)
 {
-    const auto [first, last] = bound(job, group, index);
+    const auto [first, last] = boundTo(job.submission_, group, index);
     for (std::size_t at = first; at < last; ++at) {
         auto &avoided = job.avoid_[at];
         if (2 * (avoided.size() + 1) > board.executors_.size()) {
@@ -93,19 +80,19 @@
 void forgetShunnedIfNeeded(Board &board, Job &job, const Group &group, const std::vector<Executor *> &candidates)
 {
     const Step &step = job.submission_.steps_[group.step_];
-    const std::uint32_t needed = step.gang_ ? step.count_ : 1;
-    for (std::size_t index = group.first_; index < group.first_ + step.count_; ++index) {
-        if (!job.avoid_.contains(index)) {
-            continue;
-        }
-        std::uint32_t count = 0;
+    const std::int64_t needed = step.gang_ ? step.count_ : 1;
+    for (auto at = job.avoid_.lower_bound(group.first_); at != job.avoid_.end() && at->first < group.last_;) {
+        std::int64_t room = 0;
         for (const Executor *executor : candidates) {
-            count += isShunned(job, index, executor->facts_.life_.executor_) ? 0 : held(*executor, step);
+            room += at->second.contains(executor->facts_.life_.executor_) ? 0 : held(*executor, step);
         }
-        if (count < needed) {
-            board.decide("shunned-allowed", {{"job", job.submission_.id_.str()}, {"task", std::to_string(index)}});
-            job.avoid_.erase(index);
+        // The members of a gang shun the same executors.
+        const auto next = job.avoid_.lower_bound(boundTo(job.submission_, group, at->first).second);
+        if (room < needed) {
+            board.decide("shunned-allowed", {{"job", job.submission_.id_.str()}, {"task", std::to_string(at->first)}});
+            job.avoid_.erase(at, next);
         }
+        at = next;
     }
 }
 
--- a/src/core/batch/job.h
+++ b/src/core/batch/job.h
@@ -3,6 +3,7 @@
 #include "bergamotwick/ids.h"
 #include "core/batch/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -24,6 +25,13 @@
         return need.cpuMilli_ <= cpuMilli_ && need.memoryMb_ <= memoryMb_ && need.accelerators_ <= accelerators_;
     }
 
+    /// Returns how many times \p need fits; \p limit if it asks for nothing.
+    [[nodiscard]] constexpr std::int64_t timesFits(const Room &need, std::int64_t limit) const noexcept
+    {
+        const auto part = [limit](std::int64_t has, std::int64_t asked) { return has < 0 ? 0 : asked > 0 ? has / asked : limit; };
+        return std::min({limit, part(cpuMilli_, need.cpuMilli_), part(memoryMb_, need.memoryMb_), part(accelerators_, need.accelerators_)});
+    }
+
     constexpr Room &operator+=(const Room &other) noexcept
     {
         cpuMilli_ += other.cpuMilli_;
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -117,7 +117,7 @@
     job.storedVersion_ = job.version_;
     for (const Group &group : groupsOf(job.submission_)) {
         const Step &step = job.submission_.steps_[group.step_];
-        for (std::size_t index = group.first_; index < group.first_ + step.count_; ++index) {
+        for (std::size_t index = group.first_; index < group.last_; ++index) {
             const TaskProgress &task = job.progress_.tasks_[index];
             if (!task.assigned_) {
                 continue;
@@ -247,10 +247,7 @@
             continue;
         }
         run.phase_ = RunPhase::Starting;
-        const auto agent = board_.agents_.find(board_.executors_[run.place_.executor_].agent_);
-        if (agent != board_.agents_.end()) {
-            agent->second.directiveDue_ = true;
-        }
+        board_.tellAgentOf(board_.executors_.at(run.place_.executor_));
     }
 }
 
@@ -269,9 +266,8 @@
             ++stored;
         }
         ends.erase(ends.begin(), ends.begin() + static_cast<std::ptrdiff_t>(stored));
-        const auto agent = board_.agents_.find(executor.agent_);
-        if (stored > 0 && agent != board_.agents_.end()) {
-            agent->second.directiveDue_ = true;
+        if (stored > 0) {
+            board_.tellAgentOf(executor);
         }
     }
 }
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -5,10 +5,18 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bergamotwick::batch {
 
+/// One line for the log: a decision or a change of belief.
+struct Decision
+{
+    std::string event_;
+    std::vector<std::pair<std::string, std::string>> fields_;
+};
+
 /// A task that an executor has at work.
 struct RunningTask
 {
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Where each waiting task of a group goes; shorter than the group if some have to wait.
+using Placement = std::vector<std::pair<std::size_t, Incarnation>>;
+
 /// Rooms that are being handed out while a group is placed.
 class Draft
 {
@@ -136,10 +139,6 @@
     return text;
 }
 
-}
-
-namespace {
-
 /// Tasks that fill disturb tasks that serve on the same executor, by amounts that nobody can foretell; they are kept apart.
 bool wouldDisturb(const Board &board, const Executor &executor, const Step &step)
 {
@@ -153,8 +152,7 @@
     });
 }
 
-}
-
+/// Returns the executors that may run tasks of \p group, whatever room they have.
 std::vector<Executor *> candidates(Board &board, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
@@ -170,19 +168,7 @@
     return found;
 }
 
-std::uint32_t allowance(const Executor &executor, const WaitingGroup &group)
-{
-    const std::uint32_t limit = group.job_->submission_.steps_[group.group_.step_].antiAffinity_;
-    if (limit == 0) {
-        return std::numeric_limits<std::uint32_t>::max();
-    }
-    const auto same = [&group](const RunId &run) {
-        return run.task_.job_ == group.job_->submission_.id_ && run.task_.occurrence_ == group.group_.occurrence_ && run.task_.step_ == group.group_.step_;
-    };
-    const auto used = static_cast<std::uint32_t>(std::count_if(executor.runs_.begin(), executor.runs_.end(), same));
-    return used < limit ? limit - used : 0;
-}
-
+/// Gives out the tasks of \p placement: their record is changed, and the orders leave once it is stored.
 void assign(Board &board, const WaitingGroup &group, const Placement &placement)
 {
     Job &job = *group.job_;
@@ -229,6 +215,21 @@
                   {"priority", std::to_string(job.priority_)}});
 }
 
+}
+
+std::uint32_t allowance(const Executor &executor, const WaitingGroup &group)
+{
+    const std::uint32_t limit = group.job_->submission_.steps_[group.group_.step_].antiAffinity_;
+    if (limit == 0) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const auto same = [&group](const RunId &run) {
+        return run.task_.job_ == group.job_->submission_.id_ && run.task_.occurrence_ == group.group_.occurrence_ && run.task_.step_ == group.group_.step_;
+    };
+    const auto used = static_cast<std::uint32_t>(std::count_if(executor.runs_.begin(), executor.runs_.end(), same));
+    return used < limit ? limit - used : 0;
+}
+
 void placeWaiting(Board &board)
 {
     if (!board.mayOrder()) {
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -181,7 +181,7 @@
 }
 
 /// Returns whether \p sites, less what \p victims hold, have room for as many tasks as are placed on each.
-bool holds(std::vector<Site> sites, const std::vector<Victim> &victims, const Room &each, const std::map<ExecutorId, std::size_t> &placed)
+bool holds(std::vector<Site> sites, const std::vector<Victim> &victims, const Room &each, const std::map<ExecutorId, std::int64_t> &placed)
 {
     for (const Victim &victim : victims) {
         const auto at = std::find_if(sites.begin(), sites.end(), [&victim](const Site &site) { return site.executor_->runs_.contains(victim.run_); });
@@ -189,21 +189,15 @@
     }
     return std::all_of(sites.begin(), sites.end(), [&](const Site &site) {
         const auto tasks = placed.find(site.executor_->facts_.life_.executor_);
-        const std::size_t count = tasks == placed.end() ? 0 : tasks->second;
-        Room free = site.free_;
-        bool fits = true;
-        for (std::size_t task = 0; task < count && fits; ++task) {
-            fits = free.covers(each);
-            free -= each;
-        }
-        return fits;
+        const std::int64_t count = tasks == placed.end() ? 0 : tasks->second;
+        return site.free_.timesFits(each, count) >= count;
     });
 }
 
 /// Drops victims that the room of a gang stopped later makes needless, the dearest first.
 void spare(const std::vector<Site> &sites, std::vector<Victim> &victims, const Room &each, const std::vector<Incarnation> &places)
 {
-    std::map<ExecutorId, std::size_t> placed;
+    std::map<ExecutorId, std::int64_t> placed;
     for (const Incarnation &place : places) {
         ++placed[place.executor_];
     }
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -17,7 +17,7 @@
 bool isStepDone(const Job &job, const Group &group)
 {
     const auto first = job.progress_.tasks_.begin() + static_cast<std::ptrdiff_t>(group.first_);
-    const auto last = first + job.submission_.steps_[group.step_].count_;
+    const auto last = job.progress_.tasks_.begin() + static_cast<std::ptrdiff_t>(group.last_);
     return std::all_of(first, last, [](const TaskProgress &task) { return task.done_; });
 }
 
@@ -32,7 +32,7 @@
 {
     const Step &step = job.submission_.steps_[group.step_];
     std::vector<std::size_t> waiting;
-    for (std::size_t index = group.first_; index < group.first_ + step.count_; ++index) {
+    for (std::size_t index = group.first_; index < group.last_; ++index) {
         const TaskProgress &task = job.progress_.tasks_[index];
         if (!task.done_ && !task.assigned_) {
             waiting.push_back(index);
--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -20,22 +20,16 @@
     return group.job_->priority_ == 0 ? std::min(worth, urgentPatience) : worth;
 }
 
-const std::string &rackOf(const Board &board, const Incarnation &place, std::map<ExecutorId, std::string> &known)
+std::string rackOf(const Board &board, const Incarnation &place)
 {
-    const auto [at, fresh] = known.try_emplace(place.executor_);
-    if (fresh) {
-        const auto executor = board.executors_.find(place.executor_);
-        at->second = executor == board.executors_.end() ? "" : executor->second.rack();
-    }
-    return at->second;
+    return board.executors_.at(place.executor_).rack();
 }
 
 /// Returns whether \p reservation holds room where the group runs at full speed.
 bool isNear(const Board &board, const Reservation &reservation, const Step &step)
 {
-    std::map<ExecutorId, std::string> known;
-    const std::string wanted = step.sameRack_ ? rackOf(board, reservation.places_.front(), known) : step.affinity_;
-    return std::all_of(reservation.places_.begin(), reservation.places_.end(), [&](const Incarnation &place) { return rackOf(board, place, known) == wanted; });
+    const std::string wanted = step.sameRack_ ? rackOf(board, reservation.places_.front()) : step.affinity_;
+    return std::all_of(reservation.places_.begin(), reservation.places_.end(), [&](const Incarnation &place) { return rackOf(board, place) == wanted; });
 }
 
 }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -36,20 +36,9 @@
     }
 }
 
-/// Returns the tasks that share an end: the whole group of a gang, else the task alone.
-std::pair<std::size_t, std::size_t> sharedRange(const Job &job, const RunId &run, std::size_t index)
-{
-    const Step &step = job.submission_.steps_[run.task_.step_];
-    if (!step.gang_) {
-        return {index, index + 1};
-    }
-    const std::size_t first = groupOf(job.submission_, run.task_).first_;
-    return {first, first + step.count_};
-}
-
 void applyDone(Board &board, Job &job, const RunId &run, std::size_t index)
 {
-    const auto [first, last] = sharedRange(job, run, index);
+    const auto [first, last] = boundTo(job.submission_, groupOf(job.submission_, run.task_), index);
     for (std::size_t at = first; at < last; ++at) {
         job.progress_.tasks_[at].done_ = true;
     }
@@ -59,7 +48,7 @@
 
 void applyFailure(Board &board, Job &job, const RunId &run, std::size_t index)
 {
-    const auto [first, last] = sharedRange(job, run, index);
+    const auto [first, last] = boundTo(job.submission_, groupOf(job.submission_, run.task_), index);
     const std::vector<std::uint32_t> &counted = job.progress_.tasks_[first].failedRuns_;
     if (std::find(counted.begin(), counted.end(), run.run_) != counted.end() || job.progress_.tasks_[index].done_) {
         return;
@@ -356,16 +345,14 @@
 void stopRun(Board &board, const RunId &id, const char *reason)
 {
     const auto job = board.jobs_.find(id.task_.job_);
-    std::vector<RunId> stopping{id};
-    if (job != board.jobs_.end() && job->second.submission_.steps_[id.task_.step_].gang_) {
-        const Group group = groupOf(job->second.submission_, id.task_);
-        const std::uint32_t count = job->second.submission_.steps_[id.task_.step_].count_;
-        stopping.clear();
-        for (std::size_t index = group.first_; index < group.first_ + count; ++index) {
-            stopping.push_back({taskOf(job->second.submission_, group, index), id.run_});
-        }
+    if (job == board.jobs_.end()) {
+        return;
     }
-    for (const RunId &each : stopping) {
+    const Submission &submission = job->second.submission_;
+    const Group group = groupOf(submission, id.task_);
+    const auto [first, last] = boundTo(submission, group, *indexOf(submission, id.task_));
+    for (std::size_t index = first; index < last; ++index) {
+        const RunId each{taskOf(submission, group, index), id.run_};
         const auto run = board.runs_.find(each);
         if (run == board.runs_.end() || run->second.phase_ == RunPhase::Stopping) {
             continue;
@@ -378,17 +365,14 @@
             continue;
         }
         run->second.phase_ = RunPhase::Stopping;
-        const auto agent = board.agents_.find(board.executors_[run->second.place_.executor_].agent_);
-        if (agent != board.agents_.end()) {
-            agent->second.directiveDue_ = true;
-        }
+        board.tellAgentOf(board.executors_.at(run->second.place_.executor_));
     }
 }
 
 void stopJob(Board &board, Job &job, const char *reason)
 {
     for (const Group &group : groupsOf(job.submission_)) {
-        for (std::size_t index = group.first_; index < group.first_ + job.submission_.steps_[group.step_].count_; ++index) {
+        for (std::size_t index = group.first_; index < group.last_; ++index) {
             if (job.progress_.tasks_[index].assigned_) {
                 stopRun(board, {taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_}, reason);
             }
--- a/src/core/batch/stalls.cpp
+++ b/src/core/batch/stalls.cpp
@@ -73,7 +73,7 @@
     const Job &job = board.jobs_.at(run.id_.task_.job_);
     const Group group = groupOf(job.submission_, run.id_.task_);
     std::vector<Duration> paces;
-    for (std::size_t index = group.first_; index < group.first_ + job.submission_.steps_[group.step_].count_; ++index) {
+    for (std::size_t index = group.first_; index < group.last_; ++index) {
         const RunId id{taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_};
         const auto fellow = board.runs_.find(id);
         const auto pace = fellow != board.runs_.end() && id != run.id_ ? paceOf(fellow->second) : std::nullopt;
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -132,7 +132,7 @@
         }
     }
 
-    void carryOut(batch::AgentLog &&line)
+    void carryOut(batch::Decision &&line)
     {
         metrics_.count("decisions_total", "event=\"" + line.event_ + "\"");
         logEvent(LogLevel::Info, line.event_, line.fields_);
--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -311,7 +311,7 @@
                 call(index, *stop);
             } else if (auto *report = std::get_if<batch::Report>(&output)) {
                 send(index, std::move(*report));
-            } else if (const auto *line = std::get_if<batch::AgentLog>(&output)) {
+            } else if (const auto *line = std::get_if<batch::Decision>(&output)) {
                 trace(host.name_, line->event_, line->fields_);
             }
         }
