One copy of store calls with a log line, of servers' set-up, of run ends' words

- store_calls.h: seven places caught a store's error, logged it and returned false; succeeds() does. readAs() replaces two readers of stored values.
After an error that isn't the store's, the watch of the inbox now pauses like after the others.
- The executor client answers in the core's OrderAnswer; an enum of its own was mapped back to it, two of its values unused.
- Words of run ends stand once, in job_codec, for the client and the soak; the soak's stand-ins use platform::configure().
- Outputs are visited; takeOne() returns a value, which it always had; both ends of the agents' link share the frame's limit.
- Out: settings and includes that nothing uses.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,18 +1,18 @@
 #include "callers.h"
 
 #include "job_codec.h"
+#include "json_reader.h"
 
 #include <array>
 #include <random>
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 
 namespace bergamotwick::soak {
 
 namespace {
 
-using Json = nlohmann::json;
+using platform::Json;
 
 constexpr int callerThreads = 3;
 constexpr int tries = 5;
--- a/soak/executor_server.cpp
+++ b/soak/executor_server.cpp
@@ -2,39 +2,20 @@
 
 #include "http_threads.h"
 #include "job_codec.h"
-
-#include <nlohmann/json.hpp>
+#include "json_reader.h"
 
 namespace bergamotwick::soak {
 
 namespace {
 
-using Json = nlohmann::json;
 using batch::milliseconds;
+using platform::Json;
 
 constexpr milliseconds stopTakes{200};
 constexpr milliseconds lateBy{2'000};
 constexpr milliseconds beatPeriod{500};
 constexpr milliseconds failsAfter{200};
-
-const char *wordOf(batch::EndKind how)
-{
-    switch (how) {
-    case batch::EndKind::Done:
-        return "done";
-    case batch::EndKind::Failed:
-        return "failed";
-    case batch::EndKind::Stopped:
-        return "stopped";
-    case batch::EndKind::Lapsed:
-        return "lapsed";
-    case batch::EndKind::Broken:
-        return "broken";
-    case batch::EndKind::Alone:
-        break;
-    }
-    return "alone";
-}
+constexpr std::chrono::seconds idle{5};
 
 const char *reasonOf(test::Taken taken)
 {
@@ -137,9 +118,7 @@
 void ExecutorServer::serve()
 {
     httplib::Server &http = server_->http_;
-    http.set_tcp_nodelay(true);
-    http.set_keep_alive_max_count(1'000'000);
-    http.new_task_queue = [] { return new platform::ThreadPerConnection; };
+    platform::configure(http, idle);
     serveOrders();
     serveHolds();
     server_->port_ = http.bind_to_any_port("127.0.0.1");
@@ -228,7 +207,7 @@
         }
         Json ended = Json::array();
         for (const batch::EndedRun &end : held->ended_) {
-            ended.push_back({end.number_, platform::taskName(end.run_.task_), end.run_.run_, wordOf(end.how_), end.checkpoint_});
+            ended.push_back({end.number_, platform::taskName(end.run_.task_), end.run_.run_, platform::endWord(end.how_), end.checkpoint_});
         }
         response.set_content(Json({{"clock_ms", held->clock_.count()}, {"born", held->born_}, {"running", running}, {"ended_runs", ended}}).dump(),
                              "application/json");
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr const char *commonSettings = "zone=dc\nip=127.0.0.1\nplatform.ttl_min_ms=1000\nbounds.stop_ms=200\nbounds.gang_timeout_ms=3000\n"
+constexpr const char *commonSettings = "zone=dc\nip=127.0.0.1\nplatform.ttl_min_ms=1000\nbounds.stop_ms=200\n"
                                        "bounds.revoke_ms=5000\nbounds.status_s=120\nbounds.spread_factor=3\n";
 
 constexpr const char *operatorsConfig = R"({"version":1,"routes":[
--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -11,6 +11,7 @@
 
 constexpr milliseconds lateBy{1'000};
 constexpr milliseconds sweepPeriod{50};
+constexpr std::chrono::seconds idle{5};
 
 }
 
@@ -27,9 +28,7 @@
     , server_(std::make_unique<Server>())
 {
     httplib::Server &http = server_->http_;
-    http.set_tcp_nodelay(true);
-    http.set_keep_alive_max_count(1'000'000);
-    http.new_task_queue = [] { return new platform::ThreadPerConnection; };
+    platform::configure(http, idle);
     const auto serve = [this](auto handle) {
         return [this, handle](const httplib::Request &request, httplib::Response &response) {
             ++calls_;
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -50,13 +50,6 @@
     bool refused_ = false; ///< nothing listens at the executor's address: its process is gone
 };
 
-/// How an order was taken.
-enum class OrderAnswer : std::uint8_t {
-    Accepted,
-    Refused, ///< not carried out and never will be
-    Unknown, ///< it may be carried out, even seconds later
-};
-
 struct StartAnswered
 {
     RunId run_;
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -32,6 +32,13 @@
     }
 };
 
+/// How an order was taken.
+enum class OrderAnswer : std::uint8_t {
+    Accepted,
+    Refused, ///< not carried out and never will be
+    Unknown, ///< it may be carried out, even seconds later
+};
+
 /// How a run ended.
 enum class EndKind : std::uint8_t {
     Done,
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -1,9 +1,11 @@
 #include "node.h"
 
+#include "agent_link.h"
 #include "clock.h"
 #include "control_server.h"
 #include "core/batch/agent.h"
 #include "core/batch/codec.h"
+#include "core/overloaded.h"
 #include "daemon/log.h"
 #include "executor_client.h"
 #include "mailbox.h"
@@ -11,23 +13,17 @@
 #include "net/socket.h"
 #include "store_client.h"
 
-#include <atomic>
 #include <thread>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace bergamotwick::node {
 
 namespace {
 
 using batch::milliseconds;
 
-constexpr std::size_t maxFrame = std::size_t{4} * 1024 * 1024;
 constexpr milliseconds connectTimeout{400};
 constexpr milliseconds retryPause{200};
 constexpr milliseconds tick{100};
-
 constexpr milliseconds holdPause{200};
 
 /// Calls to the executor that may be under way at once; one that isn't answered must not hold the others up.
@@ -36,21 +32,6 @@
 /// The leader answers each report.
 constexpr SilenceLimits silence{2s, 200ms, 2s};
 
-batch::OrderAnswer answerOf(platform::OrderReply reply)
-{
-    switch (reply) {
-    case platform::OrderReply::Accepted:
-        return batch::OrderAnswer::Accepted;
-    case platform::OrderReply::Unknown:
-        return batch::OrderAnswer::Unknown;
-    case platform::OrderReply::Refused:
-    case platform::OrderReply::Fenced:
-    case platform::OrderReply::OtherLife:
-        break;
-    }
-    return batch::OrderAnswer::Refused;
-}
-
 /// Everything that runs beside an executor.
 class AgentHost
 {
@@ -134,8 +115,7 @@
 
     void carryOut(batch::Decision &&line)
     {
-        metrics_.count("decisions_total", "event=\"" + line.event_ + "\"");
-        logEvent(LogLevel::Info, line.event_, line.fields_);
+        tell(line, metrics_);
     }
 
     void hold()
@@ -174,17 +154,19 @@
     {
         platform::ExecutorClient client(settings_.executorAddress_);
         for (;;) {
-            for (auto call = calls_.takeOne(); call; call = calls_.takeOne()) {
-                const Instant began = bootNow();
-                if (const auto *start = std::get_if<batch::CallStart>(&*call)) {
-                    const auto result = client.start(start->life_, start->order_, start->leaseEnd_, start->epoch_);
-                    inputs_.put(batch::StartAnswered{start->order_.run_, answerOf(result.reply_), result.reason_});
-                } else if (const auto *stop = std::get_if<batch::CallStop>(&*call)) {
-                    const auto result = client.stop(stop->life_, stop->run_, stop->epoch_);
-                    inputs_.put(batch::StopAnswered{stop->run_, answerOf(result.reply_)});
-                }
-                metrics_.observe("order_seconds", bootNow() - began);
-            }
+            const auto call = calls_.takeOne();
+            const Instant began = bootNow();
+            std::visit(Overloaded{
+                           [&](const batch::CallStart &start) {
+                               const auto result = client.start(start.life_, start.order_, start.leaseEnd_, start.epoch_);
+                               inputs_.put(batch::StartAnswered{start.order_.run_, result.answer_, result.reason_});
+                           },
+                           [&](const batch::CallStop &stop) {
+                               inputs_.put(batch::StopAnswered{stop.run_, client.stop(stop.life_, stop.run_, stop.epoch_).answer_});
+                           },
+                       },
+                       call);
+            metrics_.observe("order_seconds", bootNow() - began);
         }
     }
 
@@ -240,7 +222,7 @@
             leaderAddress_ = address;
         }
         inputs_.wake();
-        for (auto frame = readFrame(*socket, maxFrame); frame; frame = readFrame(*socket, maxFrame)) {
+        for (auto frame = readFrame(*socket, maxAgentFrame); frame; frame = readFrame(*socket, maxAgentFrame)) {
             leaf::try_handle_all(
                 [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(directive, batch::decodeDirective(*frame));
--- a/src/node/agent_link.cpp
+++ b/src/node/agent_link.cpp
@@ -5,14 +5,10 @@
 
 #include <thread>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace bergamotwick::node {
 
 namespace {
 
-constexpr std::size_t maxFrame = std::size_t{4} * 1024 * 1024;
 constexpr Duration acceptWait = 1s;
 
 /// An agent reports twice a second. A directive that can't be written at once isn't waited for: other agents' are next.
@@ -63,7 +59,7 @@
 void AgentListener::serve(const std::shared_ptr<Socket> &socket)
 {
     std::string name;
-    for (auto frame = readFrame(*socket, maxFrame); frame && leading_; frame = readFrame(*socket, maxFrame)) {
+    for (auto frame = readFrame(*socket, maxAgentFrame); frame && leading_; frame = readFrame(*socket, maxAgentFrame)) {
         leaf::try_handle_all(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(report, batch::decodeReport(*frame));
--- a/src/node/agent_link.h
+++ b/src/node/agent_link.h
@@ -12,6 +12,9 @@
 
 namespace bergamotwick::node {
 
+/// The longest report or directive that either end takes.
+constexpr std::size_t maxAgentFrame = std::size_t{4} * 1024 * 1024;
+
 /// Takes agents' connections on an entry.
 ///
 /// Thread safety: all methods may be called from several threads at once.
--- a/src/node/config_replica.cpp
+++ b/src/node/config_replica.cpp
@@ -4,6 +4,7 @@
 #include "config_codec.h"
 #include "daemon/log.h"
 #include "operator_keys.h"
+#include "store_calls.h"
 
 #include <thread>
 
@@ -58,53 +59,41 @@
 bool ConfigReplica::readAll()
 {
     const Instant began = bootNow();
-    return leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(range, store_.range(platform::operator_keys::all, readTimeout));
-            OperatorView next;
-            if (const auto now = view()) {
-                next.config_ = now->config_;
-            }
-            apply(range.items_, next);
-            revision_ = range.atRevision_;
-            if (next.config_.version_ > 0) {
-                publish(std::move(next), began);
-            }
-            return true;
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "operators-keys-unread", {{"error", toString(error.code_)}});
-            return false;
-        },
-        [] { return false; });
+    return succeeds("operators-keys-unread", [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(range, store_.range(platform::operator_keys::all, readTimeout));
+        OperatorView next;
+        if (const auto now = view()) {
+            next.config_ = now->config_;
+        }
+        apply(range.items_, next);
+        revision_ = range.atRevision_;
+        if (next.config_.version_ > 0) {
+            publish(std::move(next), began);
+        }
+        return true;
+    });
 }
 
 bool ConfigReplica::follow()
 {
     const Instant began = bootNow();
-    return leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(changes, store_.watch(platform::operator_keys::all, revision_, watchWait));
-            if (changes.historyLost_) {
-                logEvent(LogLevel::Info, "operators-history-lost", {{"revision", revision_}});
-                return false;
-            }
-            OperatorView next;
-            if (const auto now = view()) {
-                next = *now;
-            }
-            apply(changes.events_, next);
-            revision_ = std::max(revision_, changes.atRevision_);
-            if (next.config_.version_ > 0) {
-                publish(std::move(next), began);
-            }
-            return true;
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "operators-watch-failed", {{"error", toString(error.code_)}});
+    return succeeds("operators-watch-failed", [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(changes, store_.watch(platform::operator_keys::all, revision_, watchWait));
+        if (changes.historyLost_) {
+            logEvent(LogLevel::Info, "operators-history-lost", {{"revision", revision_}});
             return false;
-        },
-        [] { return false; });
+        }
+        OperatorView next;
+        if (const auto now = view()) {
+            next = *now;
+        }
+        apply(changes.events_, next);
+        revision_ = std::max(revision_, changes.atRevision_);
+        if (next.config_.version_ > 0) {
+            publish(std::move(next), began);
+        }
+        return true;
+    });
 }
 
 void ConfigReplica::apply(const std::vector<platform::Item> &items, OperatorView &view)
--- a/src/node/election.cpp
+++ b/src/node/election.cpp
@@ -4,6 +4,7 @@
 #include "core/batch/board.h"
 #include "daemon/log.h"
 #include "keys.h"
+#include "store_calls.h"
 
 namespace bergamotwick::node {
 
@@ -60,24 +61,19 @@
         return;
     }
     const Instant since = bootNow();
-    leaf::try_handle_all(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(lease, store_.grantLease(ttl_, writeTimeout));
-            platform::Transaction transaction;
-            transaction.expected_ = {{keys::leader, 0}};
-            transaction.puts_ = {{keys::leader, address_, lease}};
-            BOOST_LEAF_AUTO(result, store_.apply(transaction, writeTimeout));
-            if (result.applied_) {
-                lead(lease, result.revision_, since);
-            } else {
-                BOOST_LEAF_CHECK(store_.endLease(lease, writeTimeout));
-            }
-            return {};
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "election-failed", {{"error", toString(error.code_)}});
-        },
-        [] {});
+    (void)succeeds("election-failed", [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(lease, store_.grantLease(ttl_, writeTimeout));
+        platform::Transaction transaction;
+        transaction.expected_ = {{keys::leader, 0}};
+        transaction.puts_ = {{keys::leader, address_, lease}};
+        BOOST_LEAF_AUTO(result, store_.apply(transaction, writeTimeout));
+        if (result.applied_) {
+            lead(lease, result.revision_, since);
+        } else {
+            BOOST_LEAF_CHECK(store_.endLease(lease, writeTimeout));
+        }
+        return result.applied_;
+    });
 }
 
 void Election::lead(std::int64_t lease, std::int64_t epoch, Instant since)
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -7,6 +7,7 @@
 #include "daemon/log.h"
 #include "election.h"
 #include "forwarding.h"
+#include "http_status.h"
 #include "job_service.h"
 #include "leader_host.h"
 #include "membership.h"
@@ -65,7 +66,7 @@
         , forwarded_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
         , callers_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
         , readiness_(settings.readinessAddress_, platform::readinessPath, [this] {
-            return platform::Answer{!stopping_ && service_.ready() ? 200 : 503, ""};
+            return platform::Answer{!stopping_ && service_.ready() ? platform::statusOk : platform::statusUnavailable, ""};
         })
     {
     }
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -5,8 +5,6 @@
 
 #include <thread>
 
-#include <sys/socket.h>
-
 namespace bergamotwick::node {
 
 namespace {
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -3,8 +3,11 @@
 #include "advice_client.h"
 #include "clock.h"
 #include "core/batch/codec.h"
+#include "core/overloaded.h"
 #include "daemon/log.h"
 #include "keys.h"
+#include "node.h"
+#include "store_calls.h"
 
 namespace bergamotwick::node {
 
@@ -29,6 +32,22 @@
     return key.substr(prefix.size());
 }
 
+/// Reads a value by \p decode; nothing, with \p failure in the log, if it can't be read.
+template<class Value>
+std::optional<Value> readAs(const platform::Item &item, Result<Value> (*decode)(std::string_view), const char *failure)
+{
+    return leaf::try_handle_all(
+        [&]() -> Result<std::optional<Value>> {
+            BOOST_LEAF_AUTO(value, decode(item.value_));
+            return std::optional<Value>(std::move(value));
+        },
+        [&](const WireError &error) -> std::optional<Value> {
+            logEvent(LogLevel::Error, failure, {{"key", item.key_}, {"error", toString(error.code_)}});
+            return std::nullopt;
+        },
+        []() -> std::optional<Value> { return std::nullopt; });
+}
+
 /// Turns a key of the inbox into an input; nothing for the leader's own key and for what can't be read.
 std::optional<batch::LeaderInput> inputOf(const platform::Item &item)
 {
@@ -41,30 +60,8 @@
     if (!item.key_.starts_with(keys::jobs)) {
         return std::nullopt;
     }
-    return leaf::try_handle_all(
-        [&]() -> Result<std::optional<batch::LeaderInput>> {
-            BOOST_LEAF_AUTO(submission, batch::decodeSubmission(item.value_));
-            return std::optional<batch::LeaderInput>(batch::JobStored{std::move(submission)});
-        },
-        [&](const WireError &error) -> std::optional<batch::LeaderInput> {
-            logEvent(LogLevel::Error, "job-unreadable", {{"key", item.key_}, {"error", toString(error.code_)}});
-            return std::nullopt;
-        },
-        []() -> std::optional<batch::LeaderInput> { return std::nullopt; });
-}
-
-std::optional<batch::LeaderInput> progressOf(const platform::Item &item)
-{
-    return leaf::try_handle_all(
-        [&]() -> Result<std::optional<batch::LeaderInput>> {
-            BOOST_LEAF_AUTO(progress, batch::decodeProgress(item.value_));
-            return std::optional<batch::LeaderInput>(batch::ProgressStored{std::move(progress), item.revision_});
-        },
-        [&](const WireError &error) -> std::optional<batch::LeaderInput> {
-            logEvent(LogLevel::Error, "progress-unreadable", {{"key", item.key_}, {"error", toString(error.code_)}});
-            return std::nullopt;
-        },
-        []() -> std::optional<batch::LeaderInput> { return std::nullopt; });
+    auto submission = readAs(item, &batch::decodeSubmission, "job-unreadable");
+    return submission ? std::optional<batch::LeaderInput>(batch::JobStored{std::move(*submission)}) : std::nullopt;
 }
 
 }
@@ -106,28 +103,22 @@
     /// Reads what the store holds. Jobs come before their progress, and cancellations last.
     [[nodiscard]] bool load()
     {
-        return leaf::try_handle_all(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(inbox, host_.store_.range(keys::inbox, readTimeout));
-                BOOST_LEAF_AUTO(progress, host_.store_.range(keys::progress, readTimeout));
-                std::vector<batch::LeaderInput> inputs;
-                addInputs(inputs, inbox.items_, keys::jobs);
-                for (const platform::Item &item : progress.items_) {
-                    if (auto input = progressOf(item)) {
-                        inputs.push_back(std::move(*input));
-                    }
+        return succeeds("leader-load-failed", [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(inbox, host_.store_.range(keys::inbox, readTimeout));
+            BOOST_LEAF_AUTO(progress, host_.store_.range(keys::progress, readTimeout));
+            std::vector<batch::LeaderInput> inputs;
+            addInputs(inputs, inbox.items_, keys::jobs);
+            for (const platform::Item &item : progress.items_) {
+                if (auto record = readAs(item, &batch::decodeProgress, "progress-unreadable")) {
+                    inputs.emplace_back(batch::ProgressStored{std::move(*record), item.revision_});
                 }
-                addInputs(inputs, inbox.items_, keys::cancels);
-                logEvent(LogLevel::Info, "leader-loaded", {{"epoch", epoch_}, {"keys", inbox.items_.size()}, {"records", progress.items_.size()}});
-                revision_ = inbox.atRevision_;
-                loaded_ = std::move(inputs);
-                return true;
-            },
-            [](const StoreError &error) {
-                logEvent(LogLevel::Warning, "leader-load-failed", {{"error", toString(error.code_)}});
-                return false;
-            },
-            [] { return false; });
+            }
+            addInputs(inputs, inbox.items_, keys::cancels);
+            logEvent(LogLevel::Info, "leader-loaded", {{"epoch", epoch_}, {"keys", inbox.items_.size()}, {"records", progress.items_.size()}});
+            revision_ = inbox.atRevision_;
+            loaded_ = std::move(inputs);
+            return true;
+        });
     }
 
     static void addInputs(std::vector<batch::LeaderInput> &inputs, const std::vector<platform::Item> &items, const std::string &prefix)
@@ -167,23 +158,20 @@
     void watchInbox()
     {
         while (!stopping_) {
-            leaf::try_handle_all(
-                [&]() -> Result<void> {
-                    if (revision_ == 0) {
-                        BOOST_LEAF_AUTO(range, host_.store_.range(keys::inbox, readTimeout));
-                        take(range.items_);
-                        revision_ = range.atRevision_;
-                    }
-                    BOOST_LEAF_AUTO(changes, host_.store_.watch(keys::inbox, revision_, watchWait));
-                    take(changes.events_);
-                    revision_ = changes.historyLost_ ? 0 : std::max(revision_, changes.atRevision_);
-                    return {};
-                },
-                [](const StoreError &error) {
-                    logEvent(LogLevel::Warning, "inbox-watch-failed", {{"error", toString(error.code_)}});
-                    std::this_thread::sleep_for(retryPause);
-                },
-                [] {});
+            const bool heard = succeeds("inbox-watch-failed", [&]() -> Result<bool> {
+                if (revision_ == 0) {
+                    BOOST_LEAF_AUTO(range, host_.store_.range(keys::inbox, readTimeout));
+                    take(range.items_);
+                    revision_ = range.atRevision_;
+                }
+                BOOST_LEAF_AUTO(changes, host_.store_.watch(keys::inbox, revision_, watchWait));
+                take(changes.events_);
+                revision_ = changes.historyLost_ ? 0 : std::max(revision_, changes.atRevision_);
+                return true;
+            });
+            if (!heard) {
+                std::this_thread::sleep_for(retryPause);
+            }
         }
     }
 
@@ -199,16 +187,13 @@
     void carryOut(std::vector<batch::LeaderOutput> outputs)
     {
         for (batch::LeaderOutput &output : outputs) {
-            if (auto *commit = std::get_if<batch::Commit>(&output)) {
-                commits_.put(std::move(*commit));
-            } else if (auto *question = std::get_if<batch::Question>(&output)) {
-                questions_.put(std::move(*question));
-            } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
-                host_.send_(directive->agent_, directive->directive_);
-            } else if (const auto *decision = std::get_if<batch::Decision>(&output)) {
-                logEvent(LogLevel::Info, decision->event_, decision->fields_);
-                host_.metrics_.count("decisions_total", "event=\"" + decision->event_ + "\"");
-            }
+            std::visit(Overloaded{
+                           [this](batch::Commit &&commit) { commits_.put(std::move(commit)); },
+                           [this](batch::Question &&question) { questions_.put(std::move(question)); },
+                           [this](batch::SendDirective &&sent) { host_.send_(sent.agent_, sent.directive_); },
+                           [this](batch::Decision &&decision) { tell(decision, host_.metrics_); },
+                       },
+                       std::move(output));
         }
     }
 
--- a/src/node/mailbox.h
+++ b/src/node/mailbox.h
@@ -4,7 +4,6 @@
 
 #include <condition_variable>
 #include <mutex>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -36,7 +35,7 @@
     }
 
     /// Waits for a value and takes the oldest one; several threads may share the work.
-    [[nodiscard]] std::optional<Value> takeOne()
+    [[nodiscard]] Value takeOne()
     {
         std::unique_lock lock(mutex_);
         filled_.wait(lock, [this] { return !values_.empty(); });
--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "daemon/log.h"
 #include "keys.h"
+#include "store_calls.h"
 
 #include <thread>
 
@@ -72,46 +73,34 @@
 
 bool Membership::readAll()
 {
-    return leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(range, store_.range(keys::members, readTimeout));
-            Members next;
-            for (const platform::Item &item : range.items_) {
-                apply(item, next);
-            }
-            next.revision_ = range.atRevision_;
-            publish(next);
-            return true;
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "members-unread", {{"error", toString(error.code_)}});
-            return false;
-        },
-        [] { return false; });
+    return succeeds("members-unread", [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(range, store_.range(keys::members, readTimeout));
+        Members next;
+        for (const platform::Item &item : range.items_) {
+            apply(item, next);
+        }
+        next.revision_ = range.atRevision_;
+        publish(next);
+        return true;
+    });
 }
 
 bool Membership::follow()
 {
-    return leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            Members next = members();
-            BOOST_LEAF_AUTO(changes, store_.watch(keys::members, next.revision_, watchWait));
-            if (changes.historyLost_) {
-                logEvent(LogLevel::Info, "members-history-lost", {{"revision", next.revision_}});
-                return false;
-            }
-            for (const platform::Item &item : changes.events_) {
-                apply(item, next);
-            }
-            next.revision_ = std::max(next.revision_, changes.atRevision_);
-            publish(next);
-            return true;
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "members-watch-failed", {{"error", toString(error.code_)}});
+    return succeeds("members-watch-failed", [&]() -> Result<bool> {
+        Members next = members();
+        BOOST_LEAF_AUTO(changes, store_.watch(keys::members, next.revision_, watchWait));
+        if (changes.historyLost_) {
+            logEvent(LogLevel::Info, "members-history-lost", {{"revision", next.revision_}});
             return false;
-        },
-        [] { return false; });
+        }
+        for (const platform::Item &item : changes.events_) {
+            apply(item, next);
+        }
+        next.revision_ = std::max(next.revision_, changes.atRevision_);
+        publish(next);
+        return true;
+    });
 }
 
 void Membership::publish(const Members &next)
@@ -134,25 +123,19 @@
 {
     std::int64_t lease = 0;
     while (!stopping_) {
-        const bool registered = leaf::try_handle_all(
-            [&]() -> Result<bool> {
-                if (lease != 0) {
-                    BOOST_LEAF_AUTO(alive, store_.keepLease(lease, writeTimeout));
-                    lease = alive ? lease : 0;
-                    return alive;
-                }
-                BOOST_LEAF_AUTO(granted, store_.grantLease(entryTtl, writeTimeout));
-                platform::Transaction transaction;
-                transaction.puts_ = {{keys::entries + name_, address_, granted}};
-                BOOST_LEAF_AUTO(result, store_.apply(transaction, writeTimeout));
-                lease = result.applied_ ? granted : 0;
-                return result.applied_;
-            },
-            [](const StoreError &error) {
-                logEvent(LogLevel::Warning, "not-registered", {{"error", toString(error.code_)}});
-                return false;
-            },
-            [] { return false; });
+        const bool registered = succeeds("not-registered", [&]() -> Result<bool> {
+            if (lease != 0) {
+                BOOST_LEAF_AUTO(alive, store_.keepLease(lease, writeTimeout));
+                lease = alive ? lease : 0;
+                return alive;
+            }
+            BOOST_LEAF_AUTO(granted, store_.grantLease(entryTtl, writeTimeout));
+            platform::Transaction transaction;
+            transaction.puts_ = {{keys::entries + name_, address_, granted}};
+            BOOST_LEAF_AUTO(result, store_.apply(transaction, writeTimeout));
+            lease = result.applied_ ? granted : 0;
+            return result.applied_;
+        });
         const Instant until = bootNow() + (registered ? entryRenewal : retryPause * 4);
         while (!stopping_ && bootNow() < until) {
             std::this_thread::sleep_for(retryPause);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/batch/messages.h"
 #include "metrics/metrics.h"
 #include "settings.h"
 
@@ -17,6 +18,9 @@
 constexpr std::uint16_t metricsPort = 9'464;
 constexpr const char *metricsPath = "/metrics";
 
+/// Writes \p decision to the log and counts it. Thread-safe.
+void tell(const batch::Decision &decision, Metrics &metrics);
+
 /// Serves \p metrics on \p ip in a thread of its own; without the port the process goes on and says so in the log.
 void serveMetrics(const std::string &ip, const Metrics &metrics);
 
