--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -46,6 +46,18 @@
     return text + "\"";
 }
 
+constexpr const char *linePattern = "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v";
+
+std::string pair(const std::string &key, const std::string &value)
+{
+    return " " + key + "=" + quoted(value);
+}
+
+void write(LogLevel level, std::string_view event, const std::string &pairs)
+{
+    spdlog::default_logger_raw()->log(levelOf(level), "event=" + std::string(event) + pairs);
+}
+
 }
 
 LogField::LogField(std::string_view key, std::string_view value)
@@ -75,7 +87,7 @@
 void openLog(LogLevel least)
 {
     auto logger = spdlog::stderr_logger_mt("bergamotwick");
-    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+    logger->set_pattern(linePattern);
     logger->set_level(levelOf(least));
     spdlog::set_default_logger(logger);
 }
@@ -86,7 +98,7 @@
     spdlog::init_thread_pool(queuedLines, 1);
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     auto logger = std::make_shared<spdlog::async_logger>("bergamotwick", std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
-    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+    logger->set_pattern(linePattern);
     logger->set_level(levelOf(least));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
@@ -100,20 +112,20 @@
 
 void logEvent(LogLevel level, std::string_view event, const std::vector<std::pair<std::string, std::string>> &fields)
 {
-    std::string line = "event=" + std::string(event);
+    std::string pairs;
     for (const auto &[key, value] : fields) {
-        line += " " + key + "=" + quoted(value);
+        pairs += pair(key, value);
     }
-    spdlog::default_logger_raw()->log(levelOf(level), line);
+    write(level, event, pairs);
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    std::string line = "event=" + std::string(event);
+    std::string pairs;
     for (const LogField &field : fields) {
-        line += " " + field.key_ + "=" + quoted(field.value_);
+        pairs += pair(field.key_, field.value_);
     }
-    spdlog::default_logger_raw()->log(levelOf(level), line);
+    write(level, event, pairs);
 }
 
 }
--- a/tests/batch/cluster.h
+++ b/tests/batch/cluster.h
@@ -81,7 +81,13 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// What takes all accelerators of an executor.
+constexpr batch::Room whole{1'000, 1'000, 8};
+
 /// Returns a job of one step.
 [[nodiscard]] batch::Submission jobOf(const std::string &id, std::uint32_t count, batch::Room each, batch::milliseconds length);
 
+/// Returns a job of one gang.
+[[nodiscard]] batch::Submission gangOf(const std::string &id, std::uint32_t count, batch::Room each, batch::milliseconds length);
+
 }
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -97,6 +97,14 @@
         step({batch::JobStored{job}});
     }
 
+    /// Hands \p job in and returns its runs soon after.
+    std::vector<RunId> begin(const batch::Submission &job)
+    {
+        submit(job);
+        pass(300ms);
+        return running(job.id_.str());
+    }
+
     /// Puts \p executor into \p rack.
     void setRack(std::size_t executor, const std::string &rack)
     {
@@ -264,12 +272,4 @@
     return job;
 }
 
-/// Returns a job of one gang.
-inline batch::Submission gangOf(const std::string &id, std::uint32_t count, batch::Room each, milliseconds length)
-{
-    batch::Submission job = jobOf(id, count, each, length);
-    job.steps_[0].gang_ = true;
-    return job;
-}
-
 }
--- a/tests/unit/batch_cluster_test.cpp
+++ b/tests/unit/batch_cluster_test.cpp
@@ -7,13 +7,6 @@
 
 const JobId first("first");
 
-batch::Submission gangOf(const std::string &id, std::uint32_t count, batch::Room each, batch::milliseconds length)
-{
-    batch::Submission job = jobOf(id, count, each, length);
-    job.steps_[0].gang_ = true;
-    return job;
-}
-
 void expectNoBreach(const Cluster &cluster)
 {
     for (const std::string &breach : cluster.breaches()) {
@@ -26,6 +19,14 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(job.str(), static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster.state(job)));
 }
 
+/// The job is done after exactly \p starts of its tasks, and no promise was broken.
+void expectServed(const Cluster &cluster, const JobId &job, std::size_t starts)
+{
+    expectCompleted(cluster, job);
+    CPPUNIT_ASSERT_EQUAL(starts, cluster.starts(job));
+    expectNoBreach(cluster);
+}
+
 }
 
 /// The leader, agents and executors together, in virtual time.
@@ -68,9 +69,7 @@
         Cluster cluster(3, 1);
         cluster.submit(jobOf("first", 6, {8'000, 1'000, 2}, 2s));
         cluster.run(3s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 6);
     }
 
     void stepsRunInOrder()
@@ -88,8 +87,8 @@
     void gangRunsOnceAndWhole()
     {
         Cluster cluster(3, 1);
-        cluster.submit(gangOf("first", 3, {1'000, 1'000, 8}, 2s));
-        cluster.submit(gangOf("second", 3, {1'000, 1'000, 8}, 2s));
+        cluster.submit(gangOf("first", 3, whole, 2s));
+        cluster.submit(gangOf("second", 3, whole, 2s));
         cluster.run(6s);
         expectCompleted(cluster, first);
         expectCompleted(cluster, JobId("second"));
@@ -101,11 +100,9 @@
     {
         Cluster cluster(3, 1);
         cluster.failAllOn(0, 20s);
-        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("first", 3, whole, 1s));
         cluster.run(6s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 4);
     }
 
     void hopelessJobEnds()
@@ -127,7 +124,7 @@
         cluster.cancel(first);
         cluster.run(2s);
         CPPUNIT_ASSERT(cluster.state(first) == batch::JobState::Cancelled);
-        cluster.submit(jobOf("second", 2, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("second", 2, whole, 1s));
         cluster.run(2s);
         expectCompleted(cluster, JobId("second"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cluster.starts(first));
@@ -137,13 +134,11 @@
     void successorTakesOverWithoutSecondStart()
     {
         Cluster cluster(3, 1);
-        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 4s));
+        cluster.submit(jobOf("first", 3, whole, 4s));
         cluster.run(1s);
         cluster.replaceLeader(1500ms, false);
         cluster.run(5s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 3);
     }
 
     void successorStartsSoon()
@@ -152,7 +147,7 @@
         cluster.replaceLeader(1500ms, false);
         cluster.run(1600ms);
         const Instant before = cluster.now();
-        cluster.submit(jobOf("first", 1, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("first", 1, whole, 1s));
         cluster.run(2s);
         CPPUNIT_ASSERT(cluster.firstStart(first) < before + 600ms);
     }
@@ -186,43 +181,37 @@
     void cutAgentsTasksGoOn()
     {
         Cluster cluster(3, 1);
-        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 8s));
+        cluster.submit(jobOf("first", 3, whole, 8s));
         cluster.run(1s);
         cluster.cutAgent(0, 5500ms);
         cluster.run(9s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 3);
     }
 
     void longCutEndsInASecondRunOnlyAfterTheLease()
     {
         Cluster cluster(4, 1);
-        cluster.submit(jobOf("first", 4, {1'000, 1'000, 8}, 12s));
+        cluster.submit(jobOf("first", 4, whole, 12s));
         cluster.run(1s);
         cluster.cutAgent(0, 30s);
         cluster.run(30s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 5);
     }
 
     void restartedAgentFindsItsTasks()
     {
         Cluster cluster(2, 1);
-        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 6s));
+        cluster.submit(jobOf("first", 2, whole, 6s));
         cluster.run(1s);
         cluster.restartAgent(0);
         cluster.run(6s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 2);
     }
 
     void executorUnderANewNameSettlesItsFormerLife()
     {
         Cluster cluster(1, 1);
-        cluster.submit(jobOf("first", 1, {1'000, 1'000, 8}, 3s));
+        cluster.submit(jobOf("first", 1, whole, 3s));
         cluster.run(1s);
         cluster.restartExecutor(0, false);
         const Instant reborn = cluster.now();
@@ -235,7 +224,7 @@
     void goneExecutorsTasksMoveOn()
     {
         Cluster cluster(2, 1);
-        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 2s));
+        cluster.submit(jobOf("first", 2, whole, 2s));
         cluster.run(500ms);
         cluster.removeExecutor(0);
         cluster.run(6s);
@@ -247,9 +236,9 @@
     {
         Cluster cluster(2, 1);
         cluster.removeExecutor(0);
-        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("first", 2, whole, 1s));
         cluster.run(1s);
-        cluster.submit(jobOf("second", 2, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("second", 2, whole, 1s));
         cluster.run(6s);
         expectCompleted(cluster, first);
         expectCompleted(cluster, JobId("second"));
@@ -285,13 +274,11 @@
     void storeOutageCostsNoRunningWork()
     {
         Cluster cluster(3, 1);
-        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 9s));
+        cluster.submit(jobOf("first", 3, whole, 9s));
         cluster.run(1s);
         cluster.faults_.storeDownUntil_ = cluster.now() + 7s;
         cluster.run(11s);
-        expectCompleted(cluster, first);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cluster.starts(first));
-        expectNoBreach(cluster);
+        expectServed(cluster, first, 3);
     }
 
     void lostAnswersLoseNothing()
@@ -313,7 +300,7 @@
     {
         Cluster cluster(2, 1);
         cluster.hangAllOn(0, 3s);
-        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 2s));
+        cluster.submit(jobOf("first", 2, whole, 2s));
         cluster.run(10s);
         expectCompleted(cluster, first);
         expectNoBreach(cluster);
@@ -323,7 +310,7 @@
     {
         Cluster cluster(2, 1);
         cluster.drain(0, 10s);
-        cluster.submit(jobOf("first", 2, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("first", 2, whole, 1s));
         cluster.run(900ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.starts(first));
         cluster.run(2s);
@@ -334,7 +321,7 @@
     {
         Cluster cluster(3, 1);
         cluster.evacuate("dc-0");
-        cluster.submit(jobOf("first", 3, {1'000, 1'000, 8}, 1s));
+        cluster.submit(jobOf("first", 3, whole, 1s));
         cluster.run(900ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cluster.starts(first));
         cluster.run(2s);
@@ -344,9 +331,9 @@
     void guaranteeIsHadBack()
     {
         Cluster cluster(2, 1);
-        cluster.submit(jobOf("borrower", 2, {1'000, 1'000, 8}, 20s));
+        cluster.submit(jobOf("borrower", 2, whole, 20s));
         cluster.run(1s);
-        batch::Submission urgent = jobOf("first", 2, {1'000, 1'000, 8}, 2s);
+        batch::Submission urgent = jobOf("first", 2, whole, 2s);
         urgent.queue_ = "h/0/";
         const Instant accepted = cluster.now();
         cluster.submit(urgent);
@@ -422,7 +409,7 @@
     static void submitSeveral(Cluster &cluster)
     {
         for (int job = 0; job < 6; ++job) {
-            cluster.submit(gangOf("gang-" + std::to_string(job), 2, {1'000, 1'000, 8}, 1500ms));
+            cluster.submit(gangOf("gang-" + std::to_string(job), 2, whole, 1500ms));
             cluster.submit(jobOf("wide-" + std::to_string(job), 4, {1'000, 1'000, 2}, 1s));
             cluster.run(700ms);
         }
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -24,11 +24,8 @@
     void gangMemberThatWaitsForOthersGoesOn()
     {
         LeaderBench bench(2);
-        batch::Submission gang = jobOf("gang", 2, {1'000, 1'000, 8}, 10s);
-        gang.steps_[0].gang_ = true;
-        bench.submit(gang);
-        bench.pass(500ms);
-        const auto runs = bench.running("gang");
+        const auto runs = bench.begin(gangOf("gang", 2, whole, 10s));
+        bench.pass(200ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs.size());
         for (std::int32_t percent = 5; percent < 99; percent += 5) {
             bench.setPercent(runs[0], std::min(100, 3 * percent));
@@ -41,9 +38,7 @@
     void gangThatStandsStillIsStopped()
     {
         LeaderBench bench(2);
-        batch::Submission gang = jobOf("gang", 2, {1'000, 1'000, 8}, 10s);
-        gang.steps_[0].gang_ = true;
-        bench.submit(gang);
+        bench.submit(gangOf("gang", 2, whole, 10s));
         bench.pass(500ms);
         bench.setPercent(bench.running("gang")[0], 100);
         bench.pass(4s);
@@ -53,11 +48,8 @@
     void memberThatStandsStillIsFoundWhileOthersWork()
     {
         LeaderBench bench(2);
-        batch::Submission gang = jobOf("gang", 2, {1'000, 1'000, 8}, 10s);
-        gang.steps_[0].gang_ = true;
-        bench.submit(gang);
-        bench.pass(500ms);
-        const auto runs = bench.running("gang");
+        const auto runs = bench.begin(gangOf("gang", 2, whole, 10s));
+        bench.pass(200ms);
         for (std::int32_t percent = 5; percent < 35; percent += 5) {
             bench.setPercent(runs[1], percent);
             bench.pass(500ms);
@@ -68,14 +60,14 @@
     void urgentWorkTakesCheapVictims()
     {
         LeaderBench bench(2);
-        batch::Submission saving = jobOf("saving", 1, {1'000, 1'000, 8}, 60s);
+        batch::Submission saving = jobOf("saving", 1, whole, 60s);
         saving.steps_[0].checkpoints_ = true;
-        bench.submit(jobOf("plain", 1, {1'000, 1'000, 8}, 60s));
+        bench.submit(jobOf("plain", 1, whole, 60s));
         bench.submit(saving);
         bench.pass(1s);
         bench.setPercent(bench.running("plain")[0], 1);
         bench.setPercent(bench.running("saving")[0], 1);
-        bench.submit(urgentJob("urgent", 1, {1'000, 1'000, 8}, 2s));
+        bench.submit(urgentJob("urgent", 1, whole, 2s));
         bench.pass(1500ms);
         CPPUNIT_ASSERT(bench.wasStopped("saving"));
         CPPUNIT_ASSERT(!bench.wasStopped("plain"));
@@ -85,11 +77,9 @@
     void unguaranteedWorkThrowsNothingLargeAway()
     {
         LeaderBench bench(3);
-        batch::Submission gang = jobOf("gang", 3, {1'000, 1'000, 8}, 20s);
-        gang.steps_[0].gang_ = true;
-        bench.submit(gang);
+        bench.submit(gangOf("gang", 3, whole, 20s));
         bench.pass(2s);
-        batch::Submission beyond = urgentJob("beyond", 1, {1'000, 1'000, 8}, 2s);
+        batch::Submission beyond = urgentJob("beyond", 1, whole, 2s);
         beyond.workspace_ = WorkspaceId("without-guarantee");
         for (std::int32_t percent = 10; percent < 30; percent += 2) {
             for (const RunId &run : bench.running("gang")) {
@@ -110,7 +100,7 @@
         bench.submit(saving);
         bench.pass(1s);
         bench.slowToStop_ = 1;
-        bench.submit(urgentJob("urgent", 2, {1'000, 1'000, 8}, 2s));
+        bench.submit(urgentJob("urgent", 2, whole, 2s));
         bench.pass(500ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("urgent").size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("saving").size());
@@ -168,7 +158,7 @@
     void ticketsThatRunOutAreAskedForAgain()
     {
         LeaderBench bench(1);
-        batch::Submission job = jobOf("advised", 2, {1'000, 1'000, 8}, 1s);
+        batch::Submission job = jobOf("advised", 2, whole, 1s);
         job.queue_ = "h/advised/";
         bench.submit(job);
         bench.pass(200ms);
@@ -180,11 +170,11 @@
     void guaranteedWorkWaitsForAnEndThatIsNear()
     {
         LeaderBench bench(1);
-        bench.submit(jobOf("ending", 1, {1'000, 1'000, 8}, 2s));
+        bench.submit(jobOf("ending", 1, whole, 2s));
         bench.pass(2s);
         bench.setPercent(bench.running("ending")[0], 90);
         bench.pass(100ms);
-        bench.submit(urgentJob("urgent", 1, {1'000, 1'000, 8}, 2s));
+        bench.submit(urgentJob("urgent", 1, whole, 2s));
         bench.pass(300ms);
         CPPUNIT_ASSERT(!bench.wasStopped("ending"));
         bench.pass(2300ms);
--- a/tests/unit/batch_rack_test.cpp
+++ b/tests/unit/batch_rack_test.cpp
@@ -23,7 +23,6 @@
         fillExecutors(bench, 4);
         bench.end(bench.running("filler-2").front(), batch::EndKind::Done);
         bench.end(bench.running("filler-3").front(), batch::EndKind::Done);
-        const std::vector<RunId> left = {bench.running("filler-0").front(), bench.running("filler-1").front()};
         bench.pass(100ms);
         bench.slowToStop_ = 0; // both fillers' only task
         bench.submit(oneRackGang("urgent", 2));
@@ -103,8 +102,6 @@
     }
 
 private:
-    static constexpr batch::Room whole{1'000, 1'000, 8};
-
     static void putIntoRacks(LeaderBench &bench, const std::vector<std::string> &racks)
     {
         for (std::size_t executor = 0; executor < racks.size(); ++executor) {
--- a/tests/unit/batch_retry_test.cpp
+++ b/tests/unit/batch_retry_test.cpp
@@ -30,9 +30,7 @@
     void retryKeepsOffExecutorsThatHaveFailedOthers()
     {
         LeaderBench bench(3);
-        bench.submit(jobOf("wide", 2, whole, 10s));
-        bench.pass(300ms);
-        for (const RunId &run : bench.running("wide")) {
+        for (const RunId &run : bench.begin(jobOf("wide", 2, whole, 10s))) {
             bench.end(run, batch::EndKind::Failed);
         }
         bench.pass(600ms);
@@ -78,8 +76,7 @@
     void clearedRoomIsTrusted()
     {
         LeaderBench bench(2);
-        bench.submit(urgentJob("urgent", 1, whole, 5s));
-        bench.pass(300ms);
+        bench.begin(urgentJob("urgent", 1, whole, 5s));
         begin(bench, "filler");
         bench.end(bench.running("urgent").front(), batch::EndKind::Failed);
         bench.pass(800ms);
@@ -88,13 +85,9 @@
     }
 
 private:
-    static constexpr batch::Room whole{1'000, 1'000, 8};
-
     static RunId begin(LeaderBench &bench, const std::string &job)
     {
-        bench.submit(jobOf(job, 1, whole, 10s));
-        bench.pass(300ms);
-        return bench.running(job).front();
+        return bench.begin(jobOf(job, 1, whole, 10s)).front();
     }
 };
 
--- a/tests/unit/batch_stall_test.cpp
+++ b/tests/unit/batch_stall_test.cpp
@@ -22,9 +22,7 @@
     void gangKeepsOffTheExecutorOnWhichAMemberStoodStill()
     {
         LeaderBench bench(5);
-        bench.submit(gangOf("gang", 2, whole, 4s));
-        bench.pass(300ms);
-        const auto runs = bench.running("gang");
+        const auto runs = bench.begin(gangOf("gang", 2, whole, 4s));
         const std::size_t bad = *bench.placeOf(runs[0]);
         for (std::int32_t percent = 5; !bench.wasStopped("gang") && percent < 99; percent += 2) {
             bench.setPercent(runs[1], percent);
@@ -39,9 +37,7 @@
     void gangKeepsOffTheExecutorOnWhichAMemberFailed()
     {
         LeaderBench bench(5);
-        bench.submit(gangOf("gang", 2, whole, 4s));
-        bench.pass(300ms);
-        const auto runs = bench.running("gang");
+        const auto runs = bench.begin(gangOf("gang", 2, whole, 4s));
         const std::size_t bad = *bench.placeOf(runs[0]);
         bench.end(runs[0], batch::EndKind::Failed);
         bench.pass(1s);
@@ -99,9 +95,7 @@
     void crawlingMemberIsMoved()
     {
         LeaderBench bench(5);
-        bench.submit(gangOf("gang", 2, whole, 6s));
-        bench.pass(300ms);
-        const auto runs = bench.running("gang");
+        const auto runs = bench.begin(gangOf("gang", 2, whole, 6s));
         const std::size_t slow = *bench.placeOf(runs[1]);
         advance(bench, runs, 3, 0.5, 2s);
         CPPUNIT_ASSERT(bench.wasStopped("gang"));
@@ -112,18 +106,14 @@
     void memberSomewhatSlowerGoesOn()
     {
         LeaderBench bench(5);
-        bench.submit(gangOf("gang", 2, whole, 6s));
-        bench.pass(300ms);
-        advance(bench, bench.running("gang"), 3, 1.8, 5s);
+        advance(bench, bench.begin(gangOf("gang", 2, whole, 6s)), 3, 1.8, 5s);
         CPPUNIT_ASSERT(!bench.wasStopped("gang"));
     }
 
     void crawlingMemberNearItsEndGoesOn()
     {
         LeaderBench bench(5);
-        bench.submit(gangOf("gang", 2, whole, 6s));
-        bench.pass(300ms);
-        const auto runs = bench.running("gang");
+        const auto runs = bench.begin(gangOf("gang", 2, whole, 6s));
         advance(bench, runs, 3, 2.8, 3s);
         for (std::int32_t percent = 85; percent < 99; ++percent) {
             bench.setPercent(runs[0], 99);
@@ -134,13 +124,9 @@
     }
 
 private:
-    static constexpr batch::Room whole{1'000, 1'000, 8};
-
     static RunId begin(LeaderBench &bench, const std::string &job, milliseconds estimate)
     {
-        bench.submit(jobOf(job, 1, whole, estimate));
-        bench.pass(300ms);
-        return bench.running(job).front();
+        return bench.begin(jobOf(job, 1, whole, estimate)).front();
     }
 
     /// Lets the job's task come to 19 % in steps of 100 ms.
