--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -315,6 +315,7 @@
     const auto waited = std::chrono::duration_cast<milliseconds>(board.now_ - job.acceptedAt_);
     const milliseconds horizon = std::max(milliseconds(0), guaranteedPatience - waited);
     std::vector<Site> sites;
+    sites.reserve(executors.size());
     for (Executor *executor : executors) {
         sites.push_back(siteOf(board, *executor, group, horizon));
     }
