Keep a leader and its agents through an outage, and hear of executors at once

Now a leader that can't reach the store keeps its key's lease in mind for as long as leases may last that follow from its permits; it gives no orders and no permits meanwhile, as before (mayOrder, mayPermit). Ruled out: that a successor counts on the former leader's giving up; it counts on permitFreshness only. Agents ask for lists at once, without a wait, on a new token or life; answers that were overtaken are dropped. The leader's watch waits for 0.5 s at most.

Tests that failed first: ElectionTest (one loss), newLeaderGetsLists..., newLifeIsAsked..., overtakenListsAreDropped.

--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -284,7 +284,8 @@
         std::this_thread::sleep_for(sweepPeriod);
         const std::lock_guard lock(mutex_);
         std::vector<std::int64_t> over;
-        for (const auto &[id, lease] : leases_) {
+        for (auto &[id, lease] : leases_) {
+            lease.until_ += faults_.leasesPause_ ? sweepPeriod : milliseconds(0);
             if (lease.until_ <= Clock::now()) {
                 over.push_back(id);
             }
--- a/soak/store_stand_in.h
+++ b/soak/store_stand_in.h
@@ -24,6 +24,7 @@
 {
     bool down_ = false; ///< answers 503 and does nothing
     milliseconds delay_{0}; ///< before each answer
+    bool leasesPause_ = false; ///< leases keep what they have left
     double lost_ = 0; ///< share of writes that are done without an answer
     double late_ = 0; ///< share of writes that get no answer and are done a second later
 };
--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -59,7 +59,19 @@
 HoldCall AgentCore::nextHold(Instant now)
 {
     now_ = now;
-    return {executor_.life_, fence(), lifeConfirmed_ ? acknowledged_ : 0, leaseEnd()};
+    return holdCall(holdWait);
+}
+
+HoldCall AgentCore::holdCall(milliseconds wait)
+{
+    return {executor_.life_, fence(), lifeConfirmed_ ? acknowledged_ : 0, leaseEnd(), wait};
+}
+
+void AgentCore::askForListsNow()
+{
+    if (epoch_ != 0 && !executor_.life_.executor_.empty()) {
+        outputs_.emplace_back(holdCall(milliseconds(0)));
+    }
 }
 
 std::int64_t AgentCore::fence() const
@@ -96,6 +108,7 @@
         epoch_ = directive.epoch_;
         listsValid_ = false;
         reportDue_ = true;
+        askForListsNow(); // the call under way carries the former token, and may wait for an end
     }
     const Instant echo{directive.echoSentAt_};
     if (directive.permit_) {
@@ -226,6 +239,9 @@
     executor_ = beat.executor_;
     executor_.life_ = life;
     executor_.left_ = left;
+    if (!sameLife) {
+        askForListsNow();
+    }
 }
 
 void AgentCore::take(const ExecutorLeft &left)
@@ -253,9 +269,13 @@
     if (answer.epoch_ != fence() || epoch_ == 0) {
         return;
     }
+    if (listsValid_ && answer.sentAt_ < listsSentAt_) {
+        return; // a later call's answer has overtaken it
+    }
+    listsSentAt_ = answer.sentAt_;
     const bool changed = !listsValid_ || answer.running_.size() != running_.size() || !answer.ended_.empty();
     listsValid_ = true;
-    listedAt_ = std::min(now_, answer.sentAt_ + holdWait).time_since_epoch();
+    listedAt_ = std::min(now_, answer.sentAt_ + answer.wait_).time_since_epoch();
     running_ = answer.running_;
     ended_ = answer.ended_;
     std::erase_if(ended_, [this](const EndedRun &end) { return end.number_ <= acknowledged_; });
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -38,6 +38,7 @@
 struct HoldAnswered
 {
     Instant sentAt_{};
+    milliseconds wait_{0}; ///< for which the executor was to wait for an end
     std::int64_t epoch_ = 0; ///< fencing token of the call
     std::int64_t born_ = 0;
     ExecutorTime clock_{0};
@@ -82,17 +83,18 @@
     std::int64_t epoch_ = 0;
 };
 
-using AgentOutput = std::variant<CallStart, CallStop, Report, Decision>;
-
-/// What to ask of the executor next.
+/// Asks the executor for its lists.
 struct HoldCall
 {
     Incarnation life_; ///< whom to ask; nobody while its name is empty
     std::int64_t epoch_ = 0;
     std::int64_t acknowledged_ = 0;
     std::optional<ExecutorTime> leaseEnd_; ///< nothing while no leader's word is fresh enough
+    milliseconds wait_{0}; ///< for an end, before the lists are given
 };
 
+using AgentOutput = std::variant<CallStart, CallStop, HoldCall, Report, Decision>;
+
 /// Decides what the process beside an executor does: whom it obeys, which orders it passes on, how long leases last, what it reports.
 ///
 /// Thread safety: none; calls are serialised by the caller.
@@ -104,7 +106,8 @@
     /// Takes \p inputs in and returns what is to be done.
     [[nodiscard]] std::vector<AgentOutput> step(Instant now, const std::vector<AgentInput> &inputs);
 
-    /// Returns the next call for the executor's lists, and notes the lease that it gives.
+    /// Returns the next of the calls for the executor's lists that follow each other, and notes the lease that it gives. Beside them, step()
+    /// asks for a call that doesn't wait where lists are missing.
     [[nodiscard]] HoldCall nextHold(Instant now);
 
 private:
@@ -144,6 +147,8 @@
     void settleOrders(const HoldAnswered &answer);
     void declareEmpty(const char *reason);
     void forgetOldOrders();
+    void askForListsNow();
+    [[nodiscard]] HoldCall holdCall(milliseconds wait);
     [[nodiscard]] std::int64_t fence() const;
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields);
     [[nodiscard]] ExecutorTime executorClock(Instant at) const;
@@ -165,6 +170,7 @@
     int refusals_ = 0; ///< calls in a row that found nobody listening
     int failures_ = 0; ///< calls in a row without a usable answer
     bool listsValid_ = false;
+    Instant listsSentAt_{}; ///< when the call was sent that the lists answer
     Duration listedAt_{}; ///< when the executor made the lists
     std::vector<RunningTask> running_;
     std::vector<EndedRun> ended_;
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -13,6 +13,7 @@
 #include "net/socket.h"
 #include "store_client.h"
 
+#include <condition_variable>
 #include <thread>
 
 namespace bergamotwick::node {
@@ -101,6 +102,11 @@
         calls_.put(std::move(call));
     }
 
+    void carryOut(batch::HoldCall &&call)
+    {
+        calls_.put(std::move(call));
+    }
+
     void carryOut(batch::Report &&report)
     {
         std::shared_ptr<Socket> leader;
@@ -132,24 +138,38 @@
                 std::this_thread::sleep_for(holdPause / 4); // its first heartbeat will name it
                 continue;
             }
-            leaf::try_handle_all(
-                [&]() -> Result<void> {
-                    BOOST_LEAF_AUTO(result, client.hold(call.life_, call.epoch_, call.acknowledged_, call.leaseEnd_, batch::holdWait));
-                    const bool ended = !result.ended_.empty();
-                    inputs_.put(batch::HoldAnswered{sent, call.epoch_, result.born_, result.clock_, std::move(result.running_), std::move(result.ended_)});
-                    if (ended) {
-                        std::this_thread::sleep_for(holdPause / 4); // until the leader has acknowledged them, the call doesn't wait
-                    }
-                    return {};
-                },
-                [&](const platform::HoldError &error) {
-                    inputs_.put(batch::HoldFailed{error.code_ == platform::HoldErrc::NobodyListens});
-                    std::this_thread::sleep_for(holdPause);
-                },
-                [] { std::this_thread::sleep_for(holdPause); });
+            const AskedLists asked = askForLists(client, call, sent);
+            if (asked == AskedLists::None) {
+                std::this_thread::sleep_for(holdPause);
+            } else if (asked == AskedLists::WithEnds) {
+                std::this_thread::sleep_for(holdPause / 4); // until the leader has acknowledged them, the call doesn't wait
+            }
         }
     }
 
+    enum class AskedLists : std::uint8_t {
+        None, ///< no answer
+        WithoutEnds,
+        WithEnds,
+    };
+
+    AskedLists askForLists(platform::ExecutorClient &client, const batch::HoldCall &call, Instant sent)
+    {
+        return leaf::try_handle_all(
+            [&]() -> Result<AskedLists> {
+                BOOST_LEAF_AUTO(result, client.hold(call.life_, call.epoch_, call.acknowledged_, call.leaseEnd_, call.wait_));
+                const bool ended = !result.ended_.empty();
+                inputs_.put(
+                    batch::HoldAnswered{sent, call.wait_, call.epoch_, result.born_, result.clock_, std::move(result.running_), std::move(result.ended_)});
+                return ended ? AskedLists::WithEnds : AskedLists::WithoutEnds;
+            },
+            [&](const platform::HoldError &error) {
+                inputs_.put(batch::HoldFailed{error.code_ == platform::HoldErrc::NobodyListens});
+                return AskedLists::None;
+            },
+            [] { return AskedLists::None; });
+    }
+
     void callExecutor()
     {
         platform::ExecutorClient client(settings_.executorAddress_);
@@ -164,6 +184,7 @@
                            [&](const batch::CallStop &stop) {
                                inputs_.put(batch::StopAnswered{stop.run_, client.stop(stop.life_, stop.run_, stop.epoch_).answer_});
                            },
+                           [&](const batch::HoldCall &hold) { (void)askForLists(client, hold, began); },
                        },
                        call);
             metrics_.observe("order_seconds", bootNow() - began);
@@ -182,7 +203,8 @@
                                      },
                                      [] {});
             }
-            std::this_thread::sleep_for(retryPause);
+            std::unique_lock lock(leaderMutex_);
+            leaderNews_.wait_for(lock, retryPause, [this] { return std::exchange(leaderChanged_, false); });
         }
     }
 
@@ -205,7 +227,12 @@
     void membersChanged(const Members &members)
     {
         const std::lock_guard lock(leaderMutex_);
-        if (leader_ && members.leader_ && !(*members.leader_ == leaderAddress_)) {
+        if (!members.leader_ || *members.leader_ == leaderAddress_) {
+            return;
+        }
+        leaderChanged_ = true;
+        leaderNews_.notify_all();
+        if (leader_) {
             leader_->shutdown();
         }
     }
@@ -251,10 +278,12 @@
     batch::AgentCore core_;
     platform::ControlServer control_;
     Mailbox<batch::AgentInput> inputs_;
-    Mailbox<std::variant<batch::CallStart, batch::CallStop>> calls_;
+    Mailbox<std::variant<batch::CallStart, batch::CallStop, batch::HoldCall>> calls_;
     std::mutex leaderMutex_;
     std::shared_ptr<Socket> leader_;
     Address leaderAddress_;
+    std::condition_variable leaderNews_;
+    bool leaderChanged_ = false; ///< the store has named a leader whom this agent hasn't followed yet
     std::optional<Address> redirected_; ///< the leader by an entry's word; of followLeader()'s thread
     Membership membership_;
 };
--- a/src/node/election.cpp
+++ b/src/node/election.cpp
@@ -18,6 +18,10 @@
 /// The lease is renewed this many times within its length.
 constexpr int renewalsPerLease = 3;
 
+/// A leader that can't reach the store gives no orders, but keeps its agents and its view for this long: the store's leases may have paused
+/// with it, and then it goes on where it was. As long as its permits and the leases that follow from them may last.
+constexpr milliseconds dormantLimit = batch::permitFreshness + batch::permitLength;
+
 }
 
 Election::Election(platform::StoreClient &store, const Membership &membership, std::string address, milliseconds ttl, Events events)
@@ -76,40 +80,48 @@
     });
 }
 
+Election::Renewal Election::renew(std::int64_t lease)
+{
+    return leaf::try_handle_all(
+        [&]() -> Result<Renewal> {
+            BOOST_LEAF_AUTO(alive, store_.keepLease(lease, ttl_ / renewalsPerLease));
+            return alive ? Renewal::Kept : Renewal::Ended;
+        },
+        [](const StoreError &error) {
+            logEvent(LogLevel::Warning, "leader-lease-not-renewed", {{"error", toString(error.code_)}});
+            return Renewal::NoAnswer;
+        },
+        [] { return Renewal::NoAnswer; });
+}
+
 void Election::lead(std::int64_t lease, std::int64_t epoch, Instant since)
 {
     logEvent(LogLevel::Info, "leader-won", {{"epoch", epoch}, {"lease", lease}});
     events_.won_(epoch, since);
     Instant seen = since;
+    bool answered = true;
     const char *reason = "stopping";
     while (!stopping_) {
         {
             std::unique_lock lock(mutex_);
-            woken_.wait_for(lock, ttl_ / renewalsPerLease, [this] { return stopping_.load(); });
+            const milliseconds pause = answered ? ttl_ / renewalsPerLease : retryPause;
+            woken_.wait_for(lock, pause, [this] { return stopping_.load(); });
         }
         if (stopping_) {
             break;
         }
         const Instant sent = bootNow();
-        const auto kept = leaf::try_handle_all(
-            [&]() -> Result<int> {
-                BOOST_LEAF_AUTO(alive, store_.keepLease(lease, ttl_ / renewalsPerLease));
-                return alive ? 1 : 0;
-            },
-            [](const StoreError &error) {
-                logEvent(LogLevel::Warning, "leader-lease-not-renewed", {{"error", toString(error.code_)}});
-                return -1;
-            },
-            [] { return -1; });
-        if (kept == 0) {
+        const Renewal renewal = renew(lease);
+        answered = renewal != Renewal::NoAnswer;
+        if (renewal == Renewal::Ended) {
             reason = "lease-ended";
             break;
         }
-        if (kept == 1) {
+        if (renewal == Renewal::Kept) {
             seen = sent;
             events_.renewed_(sent);
-        } else if (bootNow() - seen > batch::permitFreshness) {
-            reason = "store-unreachable"; // agents may find another leader
+        } else if (bootNow() - seen > dormantLimit) {
+            reason = "store-unreachable";
             break;
         }
     }
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -36,7 +36,14 @@
     void wake();
 
 private:
+    enum class Renewal : std::uint8_t {
+        Kept,
+        Ended, ///< the lease is over: somebody else may lead
+        NoAnswer,
+    };
+
     void compete();
+    [[nodiscard]] Renewal renew(std::int64_t lease);
     void lead(std::int64_t lease, std::int64_t epoch, Instant since);
 
     platform::StoreClient &store_;
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -17,7 +17,9 @@
 
 constexpr milliseconds readTimeout{1'500};
 constexpr milliseconds commitTimeout{1'500};
-constexpr milliseconds watchWait{5'000};
+
+/// A watch that waits hears nothing once the store has forgotten its history; only the next one is told. Urgent work waits that long.
+constexpr milliseconds watchWait{500};
 constexpr milliseconds adviceTimeout{6'000};
 constexpr milliseconds retryPause{150};
 
--- a/tests/batch/cluster_impl.h
+++ b/tests/batch/cluster_impl.h
@@ -307,6 +307,8 @@
                 call(index, *start);
             } else if (auto *stop = std::get_if<batch::CallStop>(&output)) {
                 call(index, *stop);
+            } else if (const auto *hold = std::get_if<batch::HoldCall>(&output)) {
+                at(now_ + netLatency, [this, index, hold = *hold] { ask(index, hold); });
             } else if (auto *report = std::get_if<batch::Report>(&output)) {
                 send(index, std::move(*report));
             } else if (const auto *line = std::get_if<batch::Decision>(&output)) {
@@ -424,8 +426,17 @@
             stepAgent(index, {batch::HoldFailed{false}});
             return;
         }
-        const batch::HoldCall call = host.agent_->nextHold(now_);
-        auto before = host.executor_->hold({call.life_, call.epoch_, 0, std::nullopt}, now_);
+        ask(index, host.agent_->nextHold(now_));
+    }
+
+    void ask(std::size_t index, const batch::HoldCall &call)
+    {
+        Host &host = hosts_[index];
+        if (host.gone_ || host.silentUntil_ > now_) {
+            stepAgent(index, {batch::HoldFailed{host.gone_}});
+            return;
+        }
+        auto before = host.executor_->hold({call.life_, call.epoch_, 0, std::nullopt, milliseconds(0)}, now_);
         auto answer = host.executor_->hold(call, now_);
         if (!answer) {
             return;
--- a/tests/batch/executor_stand_in.cpp
+++ b/tests/batch/executor_stand_in.cpp
@@ -137,6 +137,7 @@
     std::erase_if(ended_, [&call](const batch::EndedRun &end) { return end.number_ <= call.acknowledged_; });
     batch::HoldAnswered answer;
     answer.sentAt_ = now;
+    answer.wait_ = call.wait_;
     answer.epoch_ = call.epoch_;
     answer.born_ = facts_.life_.born_;
     answer.clock_ = clock(now);
--- /dev/null
+++ b/tests/process/election_test.cpp
@@ -0,0 +1,70 @@
+// The leader's key over loopback, against a store that goes away.
+
+#include "election.h"
+
+#include "../../soak/store_stand_in.h"
+#include "support/expect.h"
+
+#include <thread>
+
+namespace bergamotwick::test {
+
+class ElectionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ElectionTest);
+    CPPUNIT_TEST(leaderGoesOnAfterAnOutageInWhichLeasesPause);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void leaderGoesOnAfterAnOutageInWhichLeasesPause()
+    {
+        waitUntil([this] { return renewals_ >= 1; });
+        soak::StoreFaults down;
+        down.down_ = true;
+        down.leasesPause_ = true;
+        store_.setFaults(down);
+        std::this_thread::sleep_for(std::chrono::milliseconds(3'500)); // longer than a permit is given without the store
+        const int before = renewals_;
+        store_.setFaults({});
+        waitUntil([&] { return renewals_ > before || losses_ > 0; });
+        CPPUNIT_ASSERT_EQUAL(0, losses_.load());
+        CPPUNIT_ASSERT_EQUAL(1, wins_.load());
+    }
+
+    void tearDown() override
+    {
+        election_.stop();
+        membership_.stop();
+        store_.put("b/m/entry/last", "127.0.0.1:2"); // ends the watch
+        electing_.join();
+        following_.join();
+    }
+
+private:
+    /// Waits for what is certain to come, or for the test runner to give up.
+    template<class Condition>
+    static void waitUntil(Condition condition)
+    {
+        while (!condition()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    soak::StoreStandIn store_{1};
+    platform::StoreClient client_{store_.address()};
+    std::atomic<int> wins_{0};
+    std::atomic<int> renewals_{0};
+    std::atomic<int> losses_{0};
+    node::Membership membership_{client_, [this](const node::Members &) { election_.wake(); }};
+    node::Election election_{client_,
+                             membership_,
+                             "127.0.0.1:1",
+                             std::chrono::milliseconds(1'500),
+                             {[this](std::int64_t, Instant) { ++wins_; }, [this](Instant) { ++renewals_; }, [this](const char *) { ++losses_; }}};
+    std::thread electing_{[this] { election_.run(); }};
+    std::thread following_{[this] { membership_.run(); }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ElectionTest);
+
+}
--- a/tests/unit/batch_agent_test.cpp
+++ b/tests/unit/batch_agent_test.cpp
@@ -3,6 +3,7 @@
 #include "support/expect.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace bergamotwick::test {
 
@@ -45,15 +46,34 @@
     }
 
     void answerHold(std::vector<batch::RunningTask> running)
+    {
+        (void)step({answer(std::move(running))});
+    }
+
+    /// Returns what the executor says to a call that is sent now.
+    [[nodiscard]] batch::HoldAnswered answer(std::vector<batch::RunningTask> running)
     {
         const batch::HoldCall call = agent_.nextHold(now_);
         batch::HoldAnswered answer;
         answer.sentAt_ = now_;
+        answer.wait_ = call.wait_;
         answer.epoch_ = call.epoch_;
         answer.born_ = 5'000;
         answer.clock_ = 1s;
         answer.running_ = std::move(running);
-        (void)step({answer});
+        return answer;
+    }
+
+    /// Returns the agent's next report.
+    [[nodiscard]] batch::Report report()
+    {
+        pass(600ms);
+        for (const batch::AgentOutput &output : step({})) {
+            if (const auto *found = std::get_if<batch::Report>(&output)) {
+                return *found;
+            }
+        }
+        throw std::logic_error("no report is due");
     }
 
     [[nodiscard]] batch::HoldCall hold()
@@ -84,6 +104,9 @@
     CPPUNIT_TEST(lowerEpochIsIgnored);
     CPPUNIT_TEST(leasesEndWithoutTheLeadersWord);
     CPPUNIT_TEST(cursorGoesOnlyToALifeThatHasJustAnswered);
+    CPPUNIT_TEST(newLeaderGetsListsWithoutAWait);
+    CPPUNIT_TEST(newLifeIsAskedWithoutAWait);
+    CPPUNIT_TEST(overtakenListsAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -149,6 +172,40 @@
         bench.answerHold({});
         CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, bench.hold().acknowledged_);
     }
+
+    void newLeaderGetsListsWithoutAWait()
+    {
+        AgentBench bench;
+        batch::Directive word = bench.directive();
+        word.epoch_ = 8;
+        const auto outputs = bench.step({word});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::HoldCall>(outputs));
+        for (const batch::AgentOutput &output : outputs) {
+            if (const auto *call = std::get_if<batch::HoldCall>(&output)) {
+                CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, std::int64_t{call->wait_.count()});
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::HoldCall>(bench.step({word})));
+    }
+
+    void newLifeIsAskedWithoutAWait()
+    {
+        AgentBench bench;
+        batch::HeartbeatSeen beat;
+        beat.executor_.life_ = {ExecutorId("y"), 6'000, ""};
+        beat.sequence_ = 1;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::HoldCall>(bench.step({beat})));
+    }
+
+    void overtakenListsAreDropped()
+    {
+        AgentBench bench;
+        const batch::HoldAnswered early = bench.answer({});
+        bench.pass(100ms);
+        bench.answerHold({{run, "", 5, 0}});
+        (void)bench.step({early});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.report().running_.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchAgentTest);
--- a/tests/unit/batch_cluster_test.cpp
+++ b/tests/unit/batch_cluster_test.cpp
@@ -154,7 +154,7 @@
 
     void formerLeaderIsHarmless()
     {
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
             Cluster woken(3, seed);
             runWithWokenLeader(woken);
             expectNoBreach(woken);
@@ -170,7 +170,7 @@
         Unprotected unprotected;
         unprotected.leaderCondition_ = true;
         std::size_t broken = 0;
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
             Cluster cluster(3, seed, unprotected);
             runWithLateWritesOfFormerLeaders(cluster);
             broken += forgotten(cluster) + cluster.breaches().size();
@@ -247,7 +247,7 @@
 
     void lateOrdersRunNothingTwice()
     {
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
             Cluster cluster(4, seed);
             runWithLateOrders(cluster);
             expectNoBreach(cluster);
@@ -263,7 +263,7 @@
         Unprotected unprotected;
         unprotected.fences_ = true;
         std::size_t broken = 0;
-        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
             Cluster cluster(4, seed, unprotected);
             runWithOrdersInDoubt(cluster);
             broken += cluster.breaches().size();
