Tell how many jobs wait from the leader's view, not by reading the store

One unreadable record made each such answer fail.

The leader counts its queues twice a second; other entries ask it and keep the answer for 0.8 s, so that what callers get is at most two seconds old. Without a leader they get 503 and a time to come back; nothing is read from the store.

--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -58,6 +58,20 @@
     return outputs;
 }
 
+std::optional<WaitingJobs> Leader::waitingJobs() const
+{
+    if (!board_.mayOrder()) {
+        return std::nullopt;
+    }
+    WaitingJobs waiting;
+    for (const auto &[id, job] : board_.jobs_) {
+        if (!job.progress_.begun_ && !isFinal(job.progress_.state_)) {
+            ++waiting[job.submission_.queue_];
+        }
+    }
+    return waiting;
+}
+
 bool Leader::settled() const
 {
     return !inFlight_ && std::none_of(board_.jobs_.begin(), board_.jobs_.end(), [](const auto &entry) { return entry.second.dirty(); });
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -96,6 +96,9 @@
 
 using LeaderOutput = std::variant<Question, Commit, SendDirective, Decision>;
 
+/// By queue, as Submission::queue_ names it.
+using WaitingJobs = std::map<std::string, std::size_t>;
+
 /// Decides what runs where. Holds no socket, thread or clock.
 ///
 /// Thread safety: none; one thread drives it.
@@ -108,6 +111,10 @@
     /// Takes \p inputs in and returns what is to be done. \p calendar serves due times only.
     [[nodiscard]] std::vector<LeaderOutput> step(Instant now, CalendarTime calendar, std::vector<LeaderInput> inputs);
 
+    /// Returns how many jobs of each queue wait for their first task; queues without such jobs are left out. Nothing while the store may know
+    /// more than this leader does.
+    [[nodiscard]] std::optional<WaitingJobs> waitingJobs() const;
+
     /// Returns whether no commit is in flight and none is due: leadership can be given up without loss.
     [[nodiscard]] bool settled() const;
 
--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -41,35 +41,49 @@
     return agentAddress.withPort(static_cast<std::uint16_t>(agentAddress.port() + 1));
 }
 
-Forwarder::Forwarder(std::string self, ListEntries list)
+Forwarder::Forwarder(std::string self, FindMembers find)
     : self_(std::move(self))
-    , list_(std::move(list))
+    , find_(std::move(find))
 {
 }
 
 std::optional<platform::Answer> Forwarder::forward(platform::Call call)
 {
-    auto entries = list_();
+    auto entries = find_().entries_;
     entries.erase(self_);
     if (entries.empty() || call.forwarded_) {
         return std::nullopt;
     }
-    call.patience_ = patience;
     const auto chosen = std::next(entries.begin(), static_cast<std::ptrdiff_t>(turn_++ % entries.size()));
+    return ask(chosen->first, chosen->second, std::move(call));
+}
+
+std::optional<platform::Answer> Forwarder::askLeader(platform::Call call)
+{
+    const auto leader = find_().leader_;
+    if (!leader || call.forwarded_) {
+        return std::nullopt;
+    }
+    return ask("leader", *leader, std::move(call));
+}
+
+std::optional<platform::Answer> Forwarder::ask(const std::string &name, const Address &entry, platform::Call &&call)
+{
+    call.patience_ = patience;
     return leaf::try_handle_all(
         [&]() -> Result<std::optional<platform::Answer>> {
-            BOOST_LEAF_AUTO(frame, askEntry(forwardAddress(chosen->second), call));
+            BOOST_LEAF_AUTO(frame, askEntry(forwardAddress(entry), call));
             platform::Answer answer;
             BOOST_LEAF_ASSIGN(answer, decodeAnswer(frame));
-            logEvent(LogLevel::Info, "call-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"status", answer.status_}});
+            logEvent(LogLevel::Info, "call-forwarded", {{"path", call.path_}, {"entry", name}, {"status", answer.status_}});
             return std::optional<platform::Answer>(std::move(answer));
         },
         [&](const SocketError &error) -> std::optional<platform::Answer> {
-            logEvent(LogLevel::Warning, "call-not-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"errno", error.errno_}});
+            logEvent(LogLevel::Warning, "call-not-forwarded", {{"path", call.path_}, {"entry", name}, {"errno", error.errno_}});
             return std::nullopt;
         },
         [&](const WireError &error) -> std::optional<platform::Answer> {
-            logEvent(LogLevel::Warning, "call-not-forwarded", {{"path", call.path_}, {"entry", chosen->first}, {"error", toString(error.code_)}});
+            logEvent(LogLevel::Warning, "call-not-forwarded", {{"path", call.path_}, {"entry", name}, {"error", toString(error.code_)}});
             return std::nullopt;
         },
         []() -> std::optional<platform::Answer> { return std::nullopt; });
--- a/src/node/forwarding.h
+++ b/src/node/forwarding.h
@@ -11,21 +11,26 @@
 
 /// Hands calls to other entries: the store may turn one host away and serve the others.
 ///
-/// Thread safety: forward() may be called from several threads at once.
+/// Thread safety: forward() and askLeader() may be called from several threads at once.
 class Forwarder
 {
 public:
-    using ListEntries = std::function<std::map<std::string, Address>()>;
+    using FindMembers = std::function<Members()>;
 
     /// \p self is this entry's name.
-    Forwarder(std::string self, ListEntries list);
+    Forwarder(std::string self, FindMembers find);
 
     /// Asks another entry to serve \p call. Returns nothing if none answers in time; it may have served it then.
     [[nodiscard]] std::optional<platform::Answer> forward(platform::Call call);
 
+    /// Asks the leader to serve \p call; otherwise like forward().
+    [[nodiscard]] std::optional<platform::Answer> askLeader(platform::Call call);
+
 private:
+    [[nodiscard]] static std::optional<platform::Answer> ask(const std::string &name, const Address &entry, platform::Call &&call);
+
     std::string self_;
-    ListEntries list_;
+    FindMembers find_;
     std::atomic<std::size_t> turn_{0};
 };
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds servedLately{100};
 constexpr milliseconds probeTimeout{450};
 
+/// The leader's count of a queue's waiting jobs, itself up to a second old, is told on for this long: callers take what is two seconds old.
+constexpr milliseconds countKept{800};
+
 const char *wordOf(platform::CallMethod method)
 {
     switch (method) {
@@ -71,10 +74,11 @@
     }
 };
 
-JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, Metrics &metrics, Duration keyLimit)
+JobService::JobService(platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, CountWaiting count, Metrics &metrics, Duration keyLimit)
     : store_(store)
     , config_(config)
     , forwarder_(forwarder)
+    , countWaiting_(std::move(count))
     , metrics_(metrics)
     , keyLimit_(keyLimit)
 {
@@ -128,7 +132,7 @@
     const milliseconds patience = call.patience_.count() > 0 ? call.patience_ : usualPatience;
     request.deadline_ = bootNow() + patience - answerMargin;
     if (request.id_.empty() && call.method_ == platform::CallMethod::Read) {
-        return pending(request);
+        return pending(request, call);
     }
     if (!platform::isJobId(request.id_)) {
         return refusal(call.method_ == platform::CallMethod::Submit ? platform::statusBadRequest : platform::statusGone);
@@ -277,38 +281,27 @@
     return refusal(platform::statusUnavailable);
 }
 
-Answer JobService::pending(const Request &request)
+Answer JobService::pending(const Request &request, const platform::Call &call)
 {
     const std::string queue = request.queue_->key();
-    return leaf::try_handle_all(
-        [&]() -> Result<Answer> {
-            BOOST_LEAF_AUTO(inbox, store_.range(keys::inbox, request.timeout()));
-            BOOST_LEAF_AUTO(records, store_.range(keys::progress, request.timeout()));
-            std::set<std::string> waiting;
-            for (const platform::Item &item : inbox.items_) {
-                if (!item.key_.starts_with(keys::jobs)) {
-                    continue;
-                }
-                BOOST_LEAF_AUTO(submission, batch::decodeSubmission(item.value_));
-                if (submission.queue_ == queue) {
-                    waiting.insert(submission.id_.str());
-                }
-            }
-            for (const platform::Item &item : inbox.items_) {
-                if (item.key_.starts_with(keys::cancels)) {
-                    waiting.erase(item.key_.substr(keys::cancels.size()));
-                }
-            }
-            for (const platform::Item &item : records.items_) {
-                waiting.erase(item.key_.substr(keys::progress.size()));
-            }
-            return Answer{platform::statusOk, platform::encodePending(waiting.size())};
-        },
-        [](const StoreError &error) {
-            logEvent(LogLevel::Warning, "pending-unread", {{"error", toString(error.code_)}});
-            return refusal(platform::statusUnavailable);
-        },
-        [] { return refusal(platform::statusUnavailable); });
+    if (const auto waiting = countWaiting_(queue)) {
+        return {platform::statusOk, platform::encodePending(*waiting)};
+    }
+    {
+        const std::lock_guard lock(countsMutex_);
+        const auto known = counts_.find(queue);
+        if (known != counts_.end() && bootNow() - known->second.at_ < countKept) {
+            return known->second.answer_;
+        }
+    }
+    const Instant asked = bootNow();
+    const auto answer = forwarder_.askLeader(call);
+    if (!answer || answer->status_ != platform::statusOk) {
+        return refusal(platform::statusUnavailable);
+    }
+    const std::lock_guard lock(countsMutex_);
+    counts_[queue] = {*answer, asked};
+    return *answer;
 }
 
 }
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -26,6 +26,10 @@
 /// Time passes for the scheduler at least this often.
 constexpr milliseconds tick{100};
 
+/// The count of waiting jobs is taken this often, and told for this long.
+constexpr milliseconds countPeriod{500};
+constexpr milliseconds countKept{1'000};
+
 /// How long a leader that stops waits for its last writes.
 constexpr milliseconds lastWrites{600};
 
@@ -153,10 +157,34 @@
         while (!stopping_) {
             auto inputs = inputs_.takeAll(tick);
             carryOut(leader_.step(bootNow(), calendarNow(), std::move(inputs)));
+            countWaiting();
             idle_ = finishing_ && leader_.settled();
         }
     }
 
+    void countWaiting()
+    {
+        const Instant now = bootNow();
+        if (now - countedAt_ < countPeriod) {
+            return;
+        }
+        if (auto waiting = leader_.waitingJobs()) {
+            const std::lock_guard lock(countMutex_);
+            waiting_ = std::move(*waiting);
+            countedAt_ = now;
+        }
+    }
+
+    [[nodiscard]] std::optional<std::size_t> waitingJobs(const std::string &queue)
+    {
+        const std::lock_guard lock(countMutex_);
+        if (bootNow() - countedAt_ > countKept) {
+            return std::nullopt;
+        }
+        const auto found = waiting_.find(queue);
+        return found == waiting_.end() ? 0 : found->second;
+    }
+
     void watchInbox()
     {
         while (!stopping_) {
@@ -292,6 +320,9 @@
     Mailbox<batch::LeaderInput> inputs_;
     Mailbox<batch::Commit> commits_;
     Mailbox<batch::Question> questions_;
+    std::mutex countMutex_;
+    batch::WaitingJobs waiting_;
+    Instant countedAt_{}; ///< written by run()'s thread under the mutex
     std::atomic<bool> finishing_{false};
     std::atomic<bool> idle_{false};
     std::atomic<bool> stopping_{false};
@@ -333,6 +364,16 @@
     }
 }
 
+std::optional<std::size_t> LeaderHost::waitingJobs(const std::string &queue) const
+{
+    std::shared_ptr<Term> term;
+    {
+        const std::lock_guard lock(mutex_);
+        term = term_;
+    }
+    return term ? term->waitingJobs(queue) : std::nullopt;
+}
+
 void LeaderHost::input(batch::LeaderInput input)
 {
     std::shared_ptr<Term> term;
--- a/src/node/leader_host.h
+++ b/src/node/leader_host.h
@@ -15,7 +15,7 @@
 
 /// Runs the scheduler while this entry holds the leader's key: feeds it from the store and from agents, and carries its decisions out.
 ///
-/// Thread safety: input() may be called from any thread; the rest belongs to the election's thread.
+/// Thread safety: input() and waitingJobs() may be called from any thread; the rest belongs to the election's thread.
 class LeaderHost
 {
 public:
@@ -30,6 +30,10 @@
     /// Stops leading; returns when nothing more is written.
     void stop();
 
+    /// Returns how many jobs of \p queue wait for their first task, as of less than a second ago; nothing if this entry doesn't lead or
+    /// doesn't know.
+    [[nodiscard]] std::optional<std::size_t> waitingJobs(const std::string &queue) const;
+
     /// Hands in what an agent or the election has to say; dropped while not leading.
     void input(batch::LeaderInput input);
 
@@ -42,7 +46,7 @@
     const ConfigReplica &config_;
     std::string adviceAddress_;
     Send send_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::shared_ptr<Term> term_;
 };
 
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -77,6 +77,18 @@
         }
     }
 
+    /// Lets time pass in which the leader hears nothing from the store.
+    void passWithoutStore(Duration length)
+    {
+        now_ += length;
+        step({});
+    }
+
+    [[nodiscard]] std::optional<batch::WaitingJobs> waitingJobs() const
+    {
+        return leader_.waitingJobs();
+    }
+
     void step(std::vector<batch::LeaderInput> inputs)
     {
         for (batch::LeaderOutput &output : leader_.step(now_, calendar(), std::move(inputs))) {
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(stoppedGangIsCountedOnce);
     CPPUNIT_TEST(advisedWorkRunsOnlyWhereItMay);
     CPPUNIT_TEST(ticketsThatRunOutAreAskedForAgain);
+    CPPUNIT_TEST(waitingJobsAreCountedByQueue);
+    CPPUNIT_TEST(nothingIsCountedWhileTheStoreIsAway);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +157,23 @@
         CPPUNIT_ASSERT(bench.ticketsUsed() == std::vector<std::string>({"ticket-1", "ticket-1"}));
     }
 
+    void waitingJobsAreCountedByQueue()
+    {
+        LeaderBench bench(1);
+        (void)bench.begin(jobOf("runs", 1, whole, 10s));
+        bench.submit(jobOf("waits", 1, whole, 10s));
+        bench.submit(jobOf("waits too", 1, whole, 10s));
+        bench.pass(200ms);
+        CPPUNIT_ASSERT(bench.waitingJobs() == batch::WaitingJobs({{"h/1/", 2}}));
+    }
+
+    void nothingIsCountedWhileTheStoreIsAway()
+    {
+        LeaderBench bench(1);
+        bench.passWithoutStore(2s);
+        CPPUNIT_ASSERT(!bench.waitingJobs().has_value());
+    }
+
     void ticketsThatRunOutAreAskedForAgain()
     {
         LeaderBench bench(1);
