Learn what estimates are worth, keep gangs to racks in a busy fleet, stop nothing for late work

Urgent gangs left their rack after 0.6 s, or at once where room was being cleared anywhere. And objectives are reckoned from estimates, which for draw-order and origin-audit are off by up to 90 %.

- RunTimes fits the time taken over the estimate, queue by queue; chains, patience and own work use it.
- In a fleet with three quarters of its accelerators taken, a group waits for its rack for twice what it would lose elsewhere; a guaranteed one for 0.6 s as before.
Room for a group that isn't guaranteed is cleared near first.
- An urgent group that is likely to be late anyway has nothing stopped for it, unless it is guaranteed.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -3,6 +3,7 @@
 #include "core/batch/cluster_config.h"
 #include "core/batch/job.h"
 #include "core/batch/messages.h"
+#include "core/batch/run_times.h"
 
 #include <map>
 #include <optional>
@@ -200,6 +201,7 @@
     std::map<std::string, Agent> agents_;
     std::map<RunId, Run> runs_;
     std::map<ServiceId, UrgentDemand> urgent_;
+    RunTimes runTimes_;
     std::map<StepId, Advice> advice_;
     std::vector<Question> questions_;
     std::vector<Decision> decisions_;
@@ -215,6 +217,12 @@
         return now_ - storeSeen_ < permitFreshness;
     }
 
+    /// Returns how long a task of \p step is likely to take.
+    [[nodiscard]] milliseconds expectedTime(const Job &job, const Step &step) const
+    {
+        return runTimes_.expected(job.submission_.queue_, step.estimate_);
+    }
+
     /// Returns whether agents have had time to find this leader, so that an executor which hasn't reported isn't there.
     [[nodiscard]] bool hasHeard() const noexcept
     {
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -1,5 +1,6 @@
 #include "core/batch/preemption.h"
 
+#include "core/batch/guarantees.h"
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
 #include "core/batch/placing.h"
@@ -45,10 +46,10 @@
 }
 
 /// Work that \p group brings, in the same unit.
-std::int64_t ownWork(const WaitingGroup &group)
+std::int64_t ownWork(const Board &board, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
-    return weightOf(step) * static_cast<std::int64_t>(group.tasks_.size()) * step.estimate_.count();
+    return weightOf(step) * static_cast<std::int64_t>(group.tasks_.size()) * board.expectedTime(*group.job_, step).count();
 }
 
 /// Returns how much longer \p run is likely to take, by its progress so far; nothing if it shows none yet.
@@ -63,23 +64,6 @@
     return elapsed * (100 - run.percent_) / run.percent_;
 }
 
-/// Returns whether all unfinished work of priority 0 of the group's workspace fits its guarantee.
-bool isGuaranteed(const Board &board, const Job &job)
-{
-    std::int64_t needed = 0;
-    for (const auto &[id, other] : board.jobs_) {
-        if (other.priority_ != 0 || isFinal(other.progress_.state_) || other.submission_.workspace_ != job.submission_.workspace_) {
-            continue;
-        }
-        std::int64_t widest = 0;
-        for (const Step &step : other.submission_.steps_) {
-            widest = std::max(widest, step.count_ * step.each_.accelerators_);
-        }
-        needed += widest;
-    }
-    return needed <= board.config_.guaranteed(job.submission_.workspace_);
-}
-
 /// Work that is stopped as a whole: a task, or all members of a gang that one executor has.
 struct Victim
 {
@@ -286,15 +270,20 @@
     return best;
 }
 
-/// Weighs what a plan near the group's data or gang throws away against the time that the group would take longer elsewhere.
-std::optional<Plan> cheapestPlan(const Board &board, const std::vector<Site> &sites, const WaitingGroup &group)
+/// Weighs what a plan near the group's data or gang throws away against the time that the group would take longer elsewhere. A group that
+/// isn't \p guaranteed goes elsewhere only when it has waited for its rack.
+std::optional<Plan> cheapestPlan(const Board &board, const std::vector<Site> &sites, const WaitingGroup &group, bool guaranteed)
 {
+    const bool bound = prefersRack(group.job_->submission_.steps_[group.group_.step_]);
+    if (bound && !guaranteed && !hasWaitedForRack(board, group)) {
+        return cheapestNearPlan(board, sites, group);
+    }
     auto anywhere = planOn(board, sites, group);
-    if (!prefersRack(group.job_->submission_.steps_[group.group_.step_])) {
+    if (!bound) {
         return anywhere;
     }
     auto near = cheapestNearPlan(board, sites, group);
-    const auto longer = static_cast<std::int64_t>(static_cast<double>(ownWork(group)) * (board.limits_.spreadFactor_ - 1));
+    const auto longer = static_cast<std::int64_t>(static_cast<double>(ownWork(board, group)) * (board.limits_.spreadFactor_ - 1));
     const bool worthIt = near && (!anywhere || near->lost_ <= anywhere->lost_ + longer);
     return worthIt ? near : anywhere;
 }
@@ -312,6 +301,9 @@
         release(board, job, group.group_.first_);
     }
     const bool guaranteed = isGuaranteed(board, job);
+    if (group.late_ && !guaranteed) {
+        return; // a stop would throw work away and buy nothing
+    }
     const auto waited = std::chrono::duration_cast<milliseconds>(board.now_ - job.acceptedAt_);
     const milliseconds horizon = std::max(milliseconds(0), guaranteedPatience - waited);
     std::vector<Site> sites;
@@ -319,8 +311,8 @@
     for (Executor *executor : executors) {
         sites.push_back(siteOf(board, *executor, group, horizon));
     }
-    const auto plan = cheapestPlan(board, sites, group);
-    if (!plan || (!guaranteed && plan->lost_ > ownWork(group))) {
+    const auto plan = cheapestPlan(board, sites, group, guaranteed);
+    if (!plan || (!guaranteed && plan->lost_ > ownWork(board, group))) {
         return;
     }
     const milliseconds wait = plan->victims_.empty() ? std::max(horizon, board.limits_.stopLimit_) : board.limits_.stopLimit_;
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -57,9 +57,9 @@
 
 Urgency urgencyOf(const Board &board, const Job &job, const Group &group)
 {
-    const milliseconds chain = remainingChain(job.submission_, 0);
+    const milliseconds chain = remainingChain(board, job, 0);
     const auto objective = std::chrono::duration_cast<Duration>(chain * job.stretch_) + job.targetLatency_;
-    const milliseconds left = remainingChain(job.submission_, group.step_);
+    const milliseconds left = remainingChain(board, job, group.step_);
     Urgency urgency;
     urgency.priority_ = job.priority_;
     urgency.latestStart_ = job.acceptedAt_ + objective - left;
@@ -71,13 +71,14 @@
 
 }
 
-milliseconds remainingChain(const Submission &job, std::uint32_t step)
+milliseconds remainingChain(const Board &board, const Job &job, std::uint32_t step)
 {
     // Steps only wait for earlier ones, so a walk from the last step back meets each after all that follow it.
-    std::vector<milliseconds> chain(job.steps_.size());
-    for (std::size_t at = job.steps_.size(); at-- > 0;) {
-        chain[at] += job.steps_[at].estimate_;
-        for (const std::uint32_t earlier : job.steps_[at].after_) {
+    const std::vector<Step> &steps = job.submission_.steps_;
+    std::vector<milliseconds> chain(steps.size());
+    for (std::size_t at = steps.size(); at-- > 0;) {
+        chain[at] += board.expectedTime(job, steps[at]);
+        for (const std::uint32_t earlier : steps[at].after_) {
             chain[earlier] = std::max(chain[earlier], chain[at]);
         }
     }
@@ -102,7 +103,7 @@
             std::vector<std::size_t> tasks = waitingTasks(job, group);
             if (!tasks.empty() && mayStart(job, group, groups)) {
                 const Urgency urgency = urgencyOf(board, job, group);
-                found.emplace_back(urgency, WaitingGroup{&job, group, std::move(tasks), urgency.worthless_});
+                found.emplace_back(urgency, WaitingGroup{&job, group, std::move(tasks), urgency.late_, urgency.worthless_});
             }
         }
     }
--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -1,5 +1,6 @@
 #include "core/batch/racks.h"
 
+#include "core/batch/guarantees.h"
 #include "core/batch/ledger.h"
 
 #include <algorithm>
@@ -9,20 +10,42 @@
 
 namespace {
 
-/// Urgent work waits at most this long for its rack; a guarantee has to be had back, and stops take as long again.
+/// Guaranteed work waits at most this long for its rack: the guarantee has to be had back, and stops take as long again.
 constexpr milliseconds urgentPatience{600};
 
-/// How long a group waits for the right rack before it takes any: half of the time that it would lose there.
+/// A busy fleet has this share of its accelerators taken, in percent.
+constexpr std::int64_t busyPercent = 75;
+
+bool isBusy(const Board &board, const ServiceId &service)
+{
+    std::int64_t capacity = 0;
+    std::int64_t used = 0;
+    for (const auto &[id, executor] : board.executors_) {
+        if (isUsable(board, executor, service)) {
+            capacity += executor.facts_.capacity_.accelerators_;
+            used += executor.used_.accelerators_;
+        }
+    }
+    return used * 100 >= capacity * busyPercent;
+}
+
+/// How long a group waits for the right rack before it takes any: half of the time that it would lose there, and in a busy fleet, where
+/// others would lose as much by it, twice that time.
 milliseconds patienceOf(const Board &board, const WaitingGroup &group)
 {
-    const milliseconds estimate = group.job_->submission_.steps_[group.group_.step_].estimate_;
-    const milliseconds worth(static_cast<std::int64_t>(static_cast<double>(estimate.count()) * (board.limits_.spreadFactor_ - 1) / 2));
-    return group.job_->priority_ == 0 ? std::min(worth, urgentPatience) : worth;
+    const Job &job = *group.job_;
+    const auto likely = static_cast<double>(board.expectedTime(job, job.submission_.steps_[group.group_.step_]).count());
+    const milliseconds loss(static_cast<std::int64_t>(likely * (board.limits_.spreadFactor_ - 1)));
+    if (job.priority_ == 0 && isGuaranteed(board, job)) {
+        return std::min(loss / 2, urgentPatience);
+    }
+    return isBusy(board, job.submission_.service_) ? loss * 2 : loss / 2;
 }
 
 std::string rackOf(const Board &board, const Incarnation &place)
 {
-    return board.executors_.at(place.executor_).rack();
+    const auto executor = board.executors_.find(place.executor_);
+    return executor == board.executors_.end() ? std::string() : executor->second.rack();
 }
 
 /// Returns whether \p reservation holds room where the group runs at full speed.
@@ -58,6 +81,16 @@
     return racks;
 }
 
+bool liesNear(const Board &board, const Job &job, const Group &group)
+{
+    const Step &step = job.submission_.steps_[group.step_];
+    const std::vector<TaskProgress> &tasks = job.progress_.tasks_;
+    const std::string wanted = step.sameRack_ ? rackOf(board, tasks[group.first_].place_) : step.affinity_;
+    return std::all_of(tasks.begin() + static_cast<std::ptrdiff_t>(group.first_),
+                       tasks.begin() + static_cast<std::ptrdiff_t>(group.last_),
+                       [&](const TaskProgress &task) { return rackOf(board, task.place_) == wanted; });
+}
+
 bool mayLeaveRack(const Board &board, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
@@ -65,6 +98,11 @@
     if (reserved != group.job_->reservations_.end() && reserved->second.until_ > board.now_) {
         return !isNear(board, reserved->second, step);
     }
+    return hasWaitedForRack(board, group);
+}
+
+bool hasWaitedForRack(const Board &board, const WaitingGroup &group)
+{
     const auto waiting = group.job_->waitingSince_.find(group.group_.first_);
     return board.hasHeard() && waiting != group.job_->waitingSince_.end() && board.now_ - waiting->second > patienceOf(board, group);
 }
--- a/src/core/batch/racks.h
+++ b/src/core/batch/racks.h
@@ -17,8 +17,15 @@
 /// whole. Precondition: prefersRack().
 [[nodiscard]] std::vector<std::string> preferredRacks(const WaitingGroup &group, const std::vector<Executor *> &candidates);
 
-/// Returns whether \p group may run away from its rack by now: it has waited as long as that is worth, or room is being cleared for it
-/// that lies on several racks.
+/// Returns whether the tasks of \p group lie where they run at full speed. Precondition: each has been given out.
+[[nodiscard]] bool liesNear(const Board &board, const Job &job, const Group &group);
+
+/// Returns whether \p group has waited for its rack for as long as that is worth. Where the fleet is busy it takes longer: work that is
+/// slowed takes room from all that waits.
+[[nodiscard]] bool hasWaitedForRack(const Board &board, const WaitingGroup &group);
+
+/// Returns whether \p group may run away from its rack by now: it has waited for it, or room is being cleared for it that lies on several
+/// racks.
 [[nodiscard]] bool mayLeaveRack(const Board &board, const WaitingGroup &group);
 
 }
--- /dev/null
+++ b/src/core/batch/run_times.cpp
@@ -0,0 +1,55 @@
+#include "core/batch/run_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// The line is fitted around this estimate, so that its height and slope are learned apart.
+constexpr double usualEstimateMs = 3'000;
+
+/// The belief in the estimate weighs as much as this many runs, for the line's height and for its slope.
+constexpr double beliefInHeight = 1;
+constexpr double beliefInSlope = 1;
+
+/// No estimate is taken to be further off than this.
+constexpr double mostOff = 20;
+
+double logOf(milliseconds length)
+{
+    return std::log(static_cast<double>(std::max<std::int64_t>(1, length.count())) / usualEstimateMs);
+}
+
+}
+
+void RunTimes::note(const std::string &queue, milliseconds estimate, milliseconds took)
+{
+    const double x = logOf(estimate);
+    const double y = logOf(took) - x;
+    Sums &sums = sums_[queue];
+    sums.count_ += 1;
+    sums.x_ += x;
+    sums.y_ += y;
+    sums.xx_ += x * x;
+    sums.xy_ += x * y;
+}
+
+milliseconds RunTimes::expected(const std::string &queue, milliseconds estimate) const
+{
+    const auto found = sums_.find(queue);
+    if (found == sums_.end()) {
+        return estimate;
+    }
+    const Sums &sums = found->second;
+    const double height = sums.count_ + beliefInHeight;
+    const double slope = sums.xx_ + beliefInSlope;
+    const double determinant = height * slope - sums.x_ * sums.x_; // above zero: both beliefs are
+    const double base = (sums.y_ * slope - sums.x_ * sums.xy_) / determinant;
+    const double rise = (sums.xy_ * height - sums.x_ * sums.y_) / determinant;
+    const double factor = std::clamp(std::exp(base + rise * logOf(estimate)), 1 / mostOff, mostOff);
+    return milliseconds(std::max<std::int64_t>(1, std::llround(static_cast<double>(estimate.count()) * factor)));
+}
+
+}
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -2,6 +2,7 @@
 
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
+#include "core/batch/racks.h"
 
 #include <algorithm>
 
@@ -75,6 +76,19 @@
     }
 }
 
+/// Learns how long \p run took, unless it began with a checkpoint's work or was slowed by its place.
+void noteRunTime(Board &board, const Job &job, const Run &run)
+{
+    constexpr std::int32_t fromScratch = 5; ///< percent
+    const Group group = groupOf(job.submission_, run.id_.task_);
+    const Step &step = job.submission_.steps_[group.step_];
+    const bool known = job.progress_.tasks_[*indexOf(job.submission_, run.id_.task_)].done_;
+    if (known || run.firstPercent_ > fromScratch || (prefersRack(step) && !liesNear(board, job, group))) {
+        return;
+    }
+    board.runTimes_.note(job.submission_.queue_, step.estimate_, std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_));
+}
+
 /// Carries out what \p end means for its job. Precondition: its run is in the ledger.
 void applyEnd(Board &board, Executor &executor, const EndedRun &end)
 {
@@ -86,6 +100,9 @@
     if (!end.checkpoint_.empty()) {
         job.progress_.tasks_[index].checkpoint_ = end.checkpoint_;
     }
+    if (end.how_ == EndKind::Done && !longRunning) {
+        noteRunTime(board, job, board.runs_.at(run));
+    }
     board.decide("run-ended", {{"run", toString(run)}, {"how", toString(end.how_)}, {"executor", executor.facts_.life_.executor_.str()}});
     removeRun(board, run);
     if (end.how_ == EndKind::Done && !longRunning) {
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -102,9 +102,10 @@
         }
     }
 
-    void submit(batch::Submission job)
+    /// Hands \p job in, as of \p ago.
+    void submit(batch::Submission job, milliseconds ago = milliseconds(0))
     {
-        job.acceptedAt_ = calendar();
+        job.acceptedAt_ = calendar() - ago;
         submitted_.push_back(job);
         step({batch::JobStored{job}});
     }
