Report to a new leader at once; keep urgent work off slow executors

And of the executors some take 1.3 times as long as others, which an urgent job's stretch of 1.5 hardly forgives. Their pace beside their fellows is known from every step with several tasks.

Tests that fail without it: newConnectionGetsAReportAtOnce, urgentWorkKeepsOffSlowExecutors.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -176,6 +176,11 @@
     outputs_.emplace_back(CallStop{order.life_, run, fence()});
 }
 
+void AgentCore::take(const LeaderConnected &)
+{
+    reportDue_ = true;
+}
+
 void AgentCore::take(const StartAnswered &answer)
 {
     const auto found = orders_.find(answer.run_);
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -58,13 +58,18 @@
     std::string reason_;
 };
 
+/// A connection to a leader stands; it has heard nothing over it yet.
+struct LeaderConnected
+{
+};
+
 struct StopAnswered
 {
     RunId run_;
     OrderAnswer answer_ = OrderAnswer::Unknown;
 };
 
-using AgentInput = std::variant<Directive, HeartbeatSeen, ExecutorLeft, HoldAnswered, HoldFailed, StartAnswered, StopAnswered>;
+using AgentInput = std::variant<Directive, HeartbeatSeen, ExecutorLeft, HoldAnswered, HoldFailed, LeaderConnected, StartAnswered, StopAnswered>;
 
 // Outputs
 
@@ -136,6 +141,7 @@
     void take(const ExecutorLeft &left);
     void take(const HoldAnswered &answer);
     void take(const HoldFailed &failure);
+    void take(const LeaderConnected &connected);
     void take(const StartAnswered &answer);
     void take(const StopAnswered &answer);
 
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -60,6 +60,7 @@
     std::int32_t firstPercent_ = 0; ///< when it was first listed: what its checkpoint had saved
     Duration listedAt_{}; ///< when it was first listed, on the agent's clock, so that late reports don't look like a standstill
     Duration progressAt_{}; ///< when percent_ last rose, on the agent's clock
+    bool compared_ = false; ///< its pace has been compared with its fellows'
 };
 
 /// An end that may be acknowledged once the job's record holds it.
@@ -90,6 +91,8 @@
     Instant failedAt_{}; ///< when a task last failed here
     Instant doneAt_{}; ///< when a task last ended well here
     Instant asideUntil_{};
+    double logSlowness_ = 0; ///< sum over comparisons of the logarithm of a run's pace to its fellows'
+    double comparisons_ = 0;
 
     /// Returns the rack that the executor's labels name, or an empty text.
     [[nodiscard]] std::string rack() const;
--- /dev/null
+++ b/src/core/batch/pace.cpp
@@ -0,0 +1,82 @@
+#include "core/batch/pace.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// A pace is known once a task has shown this many percent of progress over at least this time: lists are half a second apart.
+constexpr std::int32_t percentOfPace = 3;
+constexpr milliseconds timeOfPace{400};
+
+/// A run is compared once it has done this much.
+constexpr std::int32_t percentOfComparison = 50;
+
+/// That executors are alike weighs as much as this many comparisons.
+constexpr double beliefInLikeness = 1;
+
+/// A single comparison says no more than this: a task may be larger than its fellows, or an executor sick for a moment.
+constexpr double mostUnlike = 2;
+
+}
+
+/// Returns the time that \p run takes for a percent; nothing if it has shown too little.
+std::optional<Duration> paceOf(const Run &run)
+{
+    const std::int32_t gained = run.percent_ - run.firstPercent_;
+    const Duration took = run.progressAt_ - run.listedAt_;
+    if (run.phase_ != RunPhase::Running || gained < percentOfPace || took < timeOfPace) {
+        return std::nullopt;
+    }
+    return took / gained;
+}
+
+/// Returns the middle pace of the other tasks of the same step; nothing if none has one.
+std::optional<Duration> paceOfFellows(const Board &board, const Run &run)
+{
+    const Job &job = board.jobs_.at(run.id_.task_.job_);
+    const Group group = groupOf(job.submission_, run.id_.task_);
+    std::vector<Duration> paces;
+    for (std::size_t index = group.first_; index < group.last_; ++index) {
+        const RunId id{taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_};
+        const auto fellow = board.runs_.find(id);
+        const auto pace = fellow != board.runs_.end() && id != run.id_ ? paceOf(fellow->second) : std::nullopt;
+        if (pace) {
+            paces.push_back(*pace);
+        }
+    }
+    if (paces.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+void learnSpeed(Board &board, Executor &executor)
+{
+    for (const RunId &id : executor.runs_) {
+        Run &run = board.runs_.at(id);
+        if (run.compared_ || run.percent_ < percentOfComparison) {
+            continue;
+        }
+        run.compared_ = true;
+        const Step &step = board.jobs_.at(id.task_.job_).submission_.steps_[id.task_.step_];
+        const auto own = paceOf(run);
+        const auto fellows = step.affinity_.empty() ? paceOfFellows(board, run) : std::nullopt; // nearness to data would be taken for speed
+        if (own && fellows && fellows->count() > 0) {
+            const double ratio = static_cast<double>(own->count()) / static_cast<double>(fellows->count());
+            executor.logSlowness_ += std::log(std::clamp(ratio, 1 / mostUnlike, mostUnlike));
+            executor.comparisons_ += 1;
+        }
+    }
+}
+
+double slownessOf(const Executor &executor)
+{
+    return std::exp(executor.logSlowness_ / (executor.comparisons_ + beliefInLikeness));
+}
+
+}
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -4,6 +4,7 @@
 #include "core/batch/health.h"
 #include "core/batch/holding.h"
 #include "core/batch/ledger.h"
+#include "core/batch/pace.h"
 #include "core/batch/preemption.h"
 #include "core/batch/racks.h"
 
@@ -17,6 +18,14 @@
 /// Where each waiting task of a group goes; shorter than the group if some have to wait.
 using Placement = std::vector<std::pair<std::size_t, Incarnation>>;
 
+/// Urgent work keeps off executors on which tasks take this much longer: half of what its objectives usually leave.
+constexpr double slowForUrgent = 1.15;
+
+bool isSlow(const Executor &executor)
+{
+    return slownessOf(executor) > slowForUrgent;
+}
+
 /// Rooms that are being handed out while a group is placed.
 class Draft
 {
@@ -27,11 +36,12 @@
     {
         for (const Executor *executor : executors) {
             const Room free = freeRoom(*executor, group.job_->submission_.id_, group.group_.first_);
-            places_.push_back({executor, free, allowance(*executor, group), isSuspect(board, *executor)});
+            places_.push_back({executor, free, allowance(*executor, group), isSuspect(board, *executor), group.job_->priority_ == 0 && isSlow(*executor)});
         }
     }
 
-    /// Takes the fullest place that fits \p task; suspect executors come last, the preferred rack first. Returns nothing if none fits.
+    /// Takes the fullest place that fits \p task; suspect executors come last, the preferred rack first, slow ones last for
+    /// urgent work. Returns nothing if none fits.
     [[nodiscard]] const Executor *take(std::size_t task, const std::string &rack, bool onlyRack)
     {
         const Room each = step().counted();
@@ -60,6 +70,7 @@
         Room free_;
         std::uint32_t allowance_ = 0;
         bool suspect_ = false;
+        bool slow_ = false; ///< for urgent work
     };
 
     [[nodiscard]] const Step &step() const
@@ -77,6 +88,9 @@
         if (leftNear != rightNear) {
             return leftNear;
         }
+        if (left.slow_ != right.slow_) {
+            return right.slow_;
+        }
         if (left.free_.accelerators_ != right.free_.accelerators_) {
             return left.free_.accelerators_ < right.free_.accelerators_;
         }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -2,6 +2,7 @@
 
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
+#include "core/batch/pace.h"
 #include "core/batch/racks.h"
 
 #include <algorithm>
@@ -292,6 +293,8 @@
         executor.failedJobs_.clear();
         executor.failedAt_ = Instant();
         executor.doneAt_ = Instant();
+        executor.logSlowness_ = 0;
+        executor.comparisons_ = 0;
         executor.asideUntil_ = Instant();
         board.decide("executor-seen",
                      {{"executor", report.executor_.life_.executor_.str()},
@@ -352,6 +355,7 @@
     for (const RunningTask &task : report.running_) {
         noteRunning(board, executor, task);
     }
+    learnSpeed(board, executor);
     takeEnds(board, executor, report.ended_);
     for (const SettledOrder &order : report.settled_) {
         takeSettled(board, executor, order);
--- a/src/core/batch/stalls.cpp
+++ b/src/core/batch/stalls.cpp
@@ -1,6 +1,7 @@
 #include "core/batch/stalls.h"
 
 #include "core/batch/health.h"
+#include "core/batch/pace.h"
 #include "core/batch/runs.h"
 
 #include <algorithm>
@@ -17,10 +18,6 @@
 constexpr int stepsOfStandstill = 10;
 constexpr milliseconds quickStandstill{1'000};
 
-/// A pace is known once a task has shown this many percent of progress over at least this time: lists are half a second apart.
-constexpr std::int32_t percentOfPace = 3;
-constexpr milliseconds timeOfPace{400};
-
 /// A task has worked for this long before it can be said to crawl.
 constexpr milliseconds timeOfCrawl{1'500};
 
@@ -34,6 +31,9 @@
 /// A job's tasks are moved for crawling at most this often, in case they do differ.
 constexpr std::uint32_t movesOfJob = 3;
 
+/// From this percent on a draining executor's runs are judged by their own progress.
+constexpr std::int32_t leastPercent = 4;
+
 /// Percent of a gang's member that has done its part and waits for the others.
 constexpr std::int32_t partDone = 99;
 
@@ -56,39 +56,6 @@
     return "draining";
 }
 
-/// Returns the time that \p run takes for a percent; nothing if it has shown too little.
-std::optional<Duration> paceOf(const Run &run)
-{
-    const std::int32_t gained = run.percent_ - run.firstPercent_;
-    const Duration took = run.progressAt_ - run.listedAt_;
-    if (run.phase_ != RunPhase::Running || gained < percentOfPace || took < timeOfPace) {
-        return std::nullopt;
-    }
-    return took / gained;
-}
-
-/// Returns the middle pace of the other tasks of the same step; nothing if none has one.
-std::optional<Duration> paceOfFellows(const Board &board, const Run &run)
-{
-    const Job &job = board.jobs_.at(run.id_.task_.job_);
-    const Group group = groupOf(job.submission_, run.id_.task_);
-    std::vector<Duration> paces;
-    for (std::size_t index = group.first_; index < group.last_; ++index) {
-        const RunId id{taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_};
-        const auto fellow = board.runs_.find(id);
-        const auto pace = fellow != board.runs_.end() && id != run.id_ ? paceOf(fellow->second) : std::nullopt;
-        if (pace) {
-            paces.push_back(*pace);
-        }
-    }
-    if (paces.empty()) {
-        return std::nullopt;
-    }
-    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
-    std::nth_element(paces.begin(), middle, paces.end());
-    return *middle;
-}
-
 bool standsStill(const Board &board, const Run &run, const Executor &executor)
 {
     const Duration still = executor.listedAt_ - run.progressAt_;
@@ -124,7 +91,7 @@
         return false;
     }
     const auto elapsed = std::chrono::duration_cast<milliseconds>(board.now_ - run.startedAt_);
-    const milliseconds left = run.percent_ > percentOfPace ? elapsed * (100 - run.percent_) / run.percent_ : step.estimate_;
+    const milliseconds left = run.percent_ >= leastPercent ? elapsed * (100 - run.percent_) / run.percent_ : step.estimate_;
     return left > executor.facts_.remaining_;
 }
 
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -248,7 +248,7 @@
             leader_ = socket;
             leaderAddress_ = address;
         }
-        inputs_.wake();
+        inputs_.put(batch::LeaderConnected());
         for (auto frame = readFrame(*socket, maxAgentFrame); frame; frame = readFrame(*socket, maxAgentFrame)) {
             leaf::try_handle_all(
                 [&]() -> Result<void> {
--- a/tests/unit/batch_agent_test.cpp
+++ b/tests/unit/batch_agent_test.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST(newLeaderGetsListsWithoutAWait);
     CPPUNIT_TEST(newLifeIsAskedWithoutAWait);
     CPPUNIT_TEST(overtakenListsAreDropped);
+    CPPUNIT_TEST(newConnectionGetsAReportAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -197,6 +198,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::HoldCall>(bench.step({beat})));
     }
 
+    void newConnectionGetsAReportAtOnce()
+    {
+        AgentBench bench;
+        (void)bench.report();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::Report>(bench.step({})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::Report>(bench.step({batch::LeaderConnected()})));
+    }
+
     void overtakenListsAreDropped()
     {
         AgentBench bench;
--- a/tests/unit/batch_run_times_test.cpp
+++ b/tests/unit/batch_run_times_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(queuesAreLearnedApart);
     CPPUNIT_TEST(lateWorkStopsNothing);
     CPPUNIT_TEST(gangKeepsToItsRackInABusyFleet);
+    CPPUNIT_TEST(urgentWorkKeepsOffSlowExecutors);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +99,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.running("gang").size());
     }
 
+    void urgentWorkKeepsOffSlowExecutors()
+    {
+        LeaderBench bench(3);
+        for (int job = 0; job < 2; ++job) {
+            const auto runs = bench.begin(jobOf("job-" + std::to_string(job), 3, whole, 10s));
+            for (std::int32_t percent = 4; percent <= 72; percent += 4) {
+                for (const RunId &run : runs) {
+                    bench.setPercent(run, *bench.placeOf(run) == 0 ? percent * 10 / 13 : percent);
+                }
+                bench.pass(200ms);
+            }
+            for (const RunId &run : runs) {
+                bench.end(run, batch::EndKind::Done);
+            }
+            bench.pass(200ms);
+        }
+        (void)bench.begin(urgentJob("urgent", 2, whole, 1s));
+        CPPUNIT_ASSERT(bench.placesOf("urgent") == std::set<std::size_t>({1, 2}));
+    }
+
 private:
     static batch::Submission withoutGuarantee(batch::Submission job)
     {
