--- a/src/core/batch/pace.cpp
+++ b/src/core/batch/pace.cpp
@@ -20,6 +20,9 @@
 /// A single comparison says no more than this: a task may be larger than its fellows, or an executor sick for a moment.
 constexpr double mostUnlike = 2;
 
+/// Urgent work keeps off executors on which tasks take this much longer: a part of what its objectives leave.
+constexpr double slowForUrgent = 1.15;
+
 }
 
 /// Returns the time that \p run takes for a percent; nothing if it has shown too little.
@@ -79,4 +82,9 @@
     return std::exp(executor.logSlowness_ / (executor.comparisons_ + beliefInLikeness));
 }
 
+bool isSlowForUrgent(const Executor &executor)
+{
+    return slownessOf(executor) > slowForUrgent;
+}
+
 }
--- a/src/core/batch/pace.h
+++ b/src/core/batch/pace.h
@@ -21,4 +21,7 @@
 /// Returns how much longer a task takes on \p executor than on the middle one, as far as is known; 1 if nothing is.
 [[nodiscard]] double slownessOf(const Executor &executor);
 
+/// Returns whether urgent work had better keep off \p executor.
+[[nodiscard]] bool isSlowForUrgent(const Executor &executor);
+
 }
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -18,14 +18,6 @@
 /// Where each waiting task of a group goes; shorter than the group if some have to wait.
 using Placement = std::vector<std::pair<std::size_t, Incarnation>>;
 
-/// Urgent work keeps off executors on which tasks take this much longer: half of what its objectives usually leave.
-constexpr double slowForUrgent = 1.15;
-
-bool isSlow(const Executor &executor)
-{
-    return slownessOf(executor) > slowForUrgent;
-}
-
 /// Rooms that are being handed out while a group is placed.
 class Draft
 {
@@ -36,7 +28,7 @@
     {
         for (const Executor *executor : executors) {
             const Room free = freeRoom(*executor, group.job_->submission_.id_, group.group_.first_);
-            places_.push_back({executor, free, allowance(*executor, group), isSuspect(board, *executor), group.job_->priority_ == 0 && isSlow(*executor)});
+            places_.push_back({executor, free, allowance(*executor, group), isSuspect(board, *executor), group.job_->priority_ == 0 && isSlowForUrgent(*executor)});
         }
     }
 
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -3,6 +3,7 @@
 #include "core/batch/guarantees.h"
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
+#include "core/batch/pace.h"
 #include "core/batch/placing.h"
 #include "core/batch/racks.h"
 #include "core/batch/runs.h"
@@ -202,12 +203,13 @@
 {
     Site *site_ = nullptr;
     std::size_t victims_ = 0;
-    std::int64_t lost_ = 0;
+    std::int64_t lost_ = 0; ///< with the task's own work once more where it would be slow
 };
 
 Offer cheapestOffer(const Board &board, std::vector<Site> &sites, const WaitingGroup &group, std::size_t task)
 {
     const Room each = group.job_->submission_.steps_[group.group_.step_].counted();
+    const std::int64_t slowCost = ownWork(board, group) / static_cast<std::int64_t>(group.tasks_.size());
     Offer best;
     for (Site &site : sites) {
         const bool open = site.allowance_ > 0 && mayTake(board, group, task, *site.executor_);
@@ -215,7 +217,7 @@
         if (!count) {
             continue;
         }
-        std::int64_t lost = 0;
+        std::int64_t lost = isSlowForUrgent(*site.executor_) ? slowCost : 0;
         for (std::size_t at = 0; at < *count; ++at) {
             lost += site.victims_[at].lost_;
         }
