--- a/src/node/election.cpp
+++ b/src/node/election.cpp
@@ -6,6 +6,8 @@
 #include "keys.h"
 #include "store_calls.h"
 
+#include <optional>
+
 namespace bergamotwick::node {
 
 namespace {
@@ -24,20 +26,27 @@
 
 }
 
-Election::Election(platform::StoreClient &store, const Membership &membership, std::string address, milliseconds ttl, Events events)
+Election::Election(platform::StoreClient &store, const Membership &membership, std::string address, milliseconds ttl, milliseconds standBack, Events events)
     : store_(store)
     , membership_(membership)
     , address_(std::move(address))
     , ttl_(ttl)
+    , standBack_(standBack)
     , events_(std::move(events))
 {
 }
 
 void Election::run()
 {
+    std::optional<Instant> vacantSince;
     while (!stopping_) {
         const bool vacant = membership_.connected() && !membership_.members().leader_;
-        if (vacant) {
+        if (!vacant) {
+            vacantSince.reset();
+        } else if (!vacantSince) {
+            vacantSince = bootNow();
+        }
+        if (vacantSince && bootNow() - *vacantSince >= standBack_) {
             compete();
         }
         std::unique_lock lock(mutex_);
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -25,8 +25,8 @@
         std::function<void(const char *reason)> lost_; ///< returns when nothing more is written under the key
     };
 
-    /// \p address is what agents connect to.
-    Election(platform::StoreClient &store, const Membership &membership, std::string address, batch::milliseconds ttl, Events events);
+    /// \p address is what agents connect to. For \p standBack after the key has become free, entries that carry more may take it first.
+    Election(platform::StoreClient &store, const Membership &membership, std::string address, batch::milliseconds ttl, batch::milliseconds standBack, Events events);
 
     /// Competes until stop(); gives the key up before it returns.
     void run();
@@ -50,6 +50,7 @@
     const Membership &membership_;
     std::string address_;
     batch::milliseconds ttl_;
+    batch::milliseconds standBack_;
     Events events_;
     std::atomic<bool> stopping_{false};
     std::mutex mutex_;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -40,6 +40,19 @@
     return limits;
 }
 
+/// A host that leads hundreds of executors needs this much of a core and of a link; where entries differ, others may have it.
+constexpr double processorOfLeader = 0.2;
+constexpr double linkOfLeaderMbps = 50;
+
+/// How long an entry on a lesser host leaves the leader's key to others: they hear of a free key from the same watch, in milliseconds.
+constexpr milliseconds standBackOfLesser{300};
+
+milliseconds standBackOf(const platform::NodeSettings &settings)
+{
+    const bool able = settings.processorShare_ >= processorOfLeader && settings.linkMbps_ >= linkOfLeaderMbps;
+    return able ? milliseconds(0) : standBackOfLesser;
+}
+
 /// Everything that an entry runs.
 class Entry
 {
@@ -60,7 +73,7 @@
                   config_,
                   settings.adviceAddress_,
                   [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
-        , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, electionEvents())
+        , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, standBackOf(settings), electionEvents())
         , forwarder_(settings.nodeName_, [this] { return membership_.members(); })
         , service_(store_, config_, forwarder_, [this](const std::string &queue) { return leader_.waitingJobs(queue); }, metrics_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
         , forwarded_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
--- a/tests/process/election_test.cpp
+++ b/tests/process/election_test.cpp
@@ -13,6 +13,7 @@
 {
     CPPUNIT_TEST_SUITE(ElectionTest);
     CPPUNIT_TEST(leaderGoesOnAfterAnOutageInWhichLeasesPause);
+    CPPUNIT_TEST(lesserEntryTakesAFreeKeyOnlyLater);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -31,6 +32,37 @@
         CPPUNIT_ASSERT_EQUAL(1, wins_.load());
     }
 
+    void lesserEntryTakesAFreeKeyOnlyLater()
+    {
+        waitUntil([this] { return renewals_ >= 1; });
+        std::atomic<int> won{0};
+        node::Election *woken = nullptr;
+        node::Membership members(client_, [&woken](const node::Members &) {
+            if (woken != nullptr) {
+                woken->wake();
+            }
+        });
+        constexpr std::chrono::milliseconds back(700);
+        node::Election lesser(client_,
+                              members,
+                              "127.0.0.1:3",
+                              std::chrono::milliseconds(1'500),
+                              back,
+                              {[&won](std::int64_t, Instant) { ++won; }, [](Instant) {}, [](const char *) {}});
+        woken = &lesser;
+        std::thread following([&members] { members.run(); });
+        std::thread electing([&lesser] { lesser.run(); });
+        const auto freed = std::chrono::steady_clock::now();
+        election_.stop(); // gives the key up
+        waitUntil([&won] { return won > 0; });
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - freed >= back);
+        lesser.stop();
+        members.stop();
+        store_.put("b/m/entry/other", "127.0.0.1:4"); // ends the watch
+        electing.join();
+        following.join();
+    }
+
     void tearDown() override
     {
         election_.stop();
@@ -60,6 +92,7 @@
                              membership_,
                              "127.0.0.1:1",
                              std::chrono::milliseconds(1'500),
+                             std::chrono::milliseconds(0),
                              {[this](std::int64_t, Instant) { ++wins_; }, [this](Instant) { ++renewals_; }, [this](const char *) { ++losses_; }}};
     std::thread electing_{[this] { election_.run(); }};
     std::thread following_{[this] { membership_.run(); }};
