--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -9,6 +9,9 @@
 #include "node.h"
 #include "store_calls.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace bergamotwick::node {
 
 namespace {
@@ -30,6 +33,9 @@
 constexpr milliseconds countPeriod{500};
 constexpr milliseconds countKept{1'000};
 
+/// Steps are at least this far apart: a step goes over the whole fleet, so that what comes in the meantime is taken in together.
+constexpr milliseconds stepGap{8};
+
 /// How long a leader that stops waits for its last writes.
 constexpr milliseconds lastWrites{600};
 
@@ -154,9 +160,16 @@
             loaded_.emplace_back(batch::EvacuationsChanged{view->evacuated_});
         }
         carryOut(leader_.step(bootNow(), calendarNow(), std::exchange(loaded_, {})));
+        Instant stepped = bootNow();
         while (!stopping_) {
             auto inputs = inputs_.takeAll(tick);
-            carryOut(leader_.step(bootNow(), calendarNow(), std::move(inputs)));
+            if (const Duration early = stepped + stepGap - bootNow(); early > Duration(0)) {
+                std::this_thread::sleep_for(early);
+                auto more = inputs_.takeAll(Duration(0));
+                std::move(more.begin(), more.end(), std::back_inserter(inputs));
+            }
+            stepped = bootNow();
+            carryOut(leader_.step(stepped, calendarNow(), std::move(inputs)));
             countWaiting();
             idle_ = finishing_ && leader_.settled();
         }
