--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -28,7 +28,8 @@
     {
         for (const Executor *executor : executors) {
             const Room free = freeRoom(*executor, group.job_->submission_.id_, group.group_.first_);
-            places_.push_back({executor, free, allowance(*executor, group), isSuspect(board, *executor), group.job_->priority_ == 0 && isSlowForUrgent(*executor)});
+            places_.push_back(
+                {executor, free, allowance(*executor, group), isSuspect(board, *executor), group.job_->priority_ == 0 && isSlowForUrgent(*executor)});
         }
     }
 
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -26,7 +26,8 @@
     };
 
     /// \p address is what agents connect to. For \p standBack after the key has become free, entries that carry more may take it first.
-    Election(platform::StoreClient &store, const Membership &membership, std::string address, batch::milliseconds ttl, batch::milliseconds standBack, Events events);
+    Election(
+        platform::StoreClient &store, const Membership &membership, std::string address, batch::milliseconds ttl, batch::milliseconds standBack, Events events);
 
     /// Competes until stop(); gives the key up before it returns.
     void run();
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -75,7 +75,13 @@
                   [this](const std::string &agent, const batch::Directive &directive) { listener_.send(agent, directive); })
         , election_(store_, membership_, agentAddress(settings).str(), limitsOf(settings).leaseTtl_, standBackOf(settings), electionEvents())
         , forwarder_(settings.nodeName_, [this] { return membership_.members(); })
-        , service_(store_, config_, forwarder_, [this](const std::string &queue) { return leader_.waitingJobs(queue); }, metrics_, Duration(settings.revokeLimit_) * keyLimitPercent / 100)
+        , service_(
+              store_,
+              config_,
+              forwarder_,
+              [this](const std::string &queue) { return leader_.waitingJobs(queue); },
+              metrics_,
+              Duration(settings.revokeLimit_) * keyLimitPercent / 100)
         , forwarded_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
         , callers_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
         , readiness_(settings.readinessAddress_, platform::readinessPath, [this] {
