--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -122,6 +122,7 @@
     std::map<std::size_t, Reservation> reservations_; ///< by the first task of the group
     std::uint32_t moves_ = 0; ///< of tasks that crawled
     std::map<std::size_t, Instant> waitingSince_; ///< by the first task of each group that waits for a place
+    std::set<std::size_t> heldFor_; ///< first tasks of the groups for which executors have been held; told once
     bool removing_ = false;
 
     [[nodiscard]] bool dirty() const noexcept
--- a/src/core/batch/holding.cpp
+++ b/src/core/batch/holding.cpp
@@ -81,7 +81,7 @@
     held_.try_emplace(executor.facts_.life_.executor_, priority);
 }
 
-void Holding::holdFor(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing)
+std::size_t Holding::holdFor(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
     std::vector<Executor *> sites = candidates;
@@ -90,10 +90,11 @@
     std::stable_sort(sites.begin(), sites.end(), [&group](const Executor *left, const Executor *right) {
         return freeAccelerators(*left, group) > freeAccelerators(*right, group);
     });
+    const std::size_t before = held_.size();
     auto wanted = static_cast<std::int64_t>(missing);
     for (const Executor *site : sites) {
         if (wanted <= 0 || isFull()) {
-            return;
+            break;
         }
         if (held_.contains(site->facts_.life_.executor_)) {
             continue; // for a group that comes first
@@ -104,6 +105,7 @@
             wanted -= fits;
         }
     }
+    return held_.size() - before;
 }
 
 void Holding::holdReserve(const ServiceId &service)
--- a/src/core/batch/holding.h
+++ b/src/core/batch/holding.h
@@ -20,8 +20,8 @@
     /// Returns whether work of \p priority may take \p executor.
     [[nodiscard]] bool isOpen(const Executor &executor, std::int32_t priority) const;
 
-    /// Sets some of \p candidates apart for the \p missing tasks of \p group that found no place.
-    void holdFor(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing);
+    /// Sets some of \p candidates apart for the \p missing tasks of \p group that found no place. Returns how many.
+    std::size_t holdFor(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing);
 
     /// Sets the emptiest executors of \p service apart for urgent work that is likely to come. Once for each service and pass.
     void holdReserve(const ServiceId &service);
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -223,6 +223,19 @@
                   {"priority", std::to_string(job.priority_)}});
 }
 
+/// Says once for each group that \p held executors are kept from less pressing work for it.
+void tellOfHolding(Board &board, const WaitingGroup &group, std::size_t missing, std::size_t held)
+{
+    if (held > 0 && group.job_->heldFor_.insert(group.group_.first_).second) {
+        board.decide("room-held",
+                     {{"job", group.job_->submission_.id_.str()},
+                      {"step", std::to_string(group.group_.step_)},
+                      {"missing", std::to_string(missing)},
+                      {"executors", std::to_string(held)},
+                      {"priority", std::to_string(group.job_->priority_)}});
+    }
+}
+
 }
 
 std::uint32_t allowance(const Executor &executor, const WaitingGroup &group)
@@ -260,7 +273,7 @@
         }
         const std::size_t missing = group.tasks_.size() - placement.size();
         if (missing > 0 && !group.worthless_) {
-            holding.holdFor(group, executors, missing);
+            tellOfHolding(board, group, missing, holding.holdFor(group, executors, missing));
         }
     }
 }
