Bound what is held by the executors that report

Found by reading: a new leader knows former lives of executors from the records, and they counted for the bound of one half; after a loss of power all live executors could have been held, and single tasks would have stood still beside free room (LOST). silentExecutorsDontCountForTheBound fails without it (28 of 32 runs went on; 30 are due).

--- a/src/core/batch/holding.cpp
+++ b/src/core/batch/holding.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// At most one executor in this many is held, so that less pressing work goes on too.
+/// At most one executor in this many of those that report is held, so that less pressing work goes on too.
 constexpr std::size_t oneHeldOf = 2;
 
 /// At most one accelerator in this many is kept free for urgent work that may come.
@@ -62,6 +62,8 @@
 
 Holding::Holding(const Board &board)
     : board_(board)
+    , live_(static_cast<std::size_t>(std::count_if(
+          board.executors_.begin(), board.executors_.end(), [&board](const auto &entry) { return board.now_ - entry.second.lastReport_ < silenceLimit; })))
 {
 }
 
@@ -73,7 +75,7 @@
 
 bool Holding::isFull() const
 {
-    return (held_.size() + 1) * oneHeldOf > board_.executors_.size();
+    return (held_.size() + 1) * oneHeldOf > live_;
 }
 
 void Holding::hold(const Executor &executor, std::int32_t priority)
--- a/src/core/batch/holding.h
+++ b/src/core/batch/holding.h
@@ -33,6 +33,7 @@
     const Board &board_;
     std::map<ExecutorId, std::int32_t> held_; ///< the least pressing priority that may take it
     std::set<ServiceId> reserved_;
+    std::size_t live_ = 0; ///< executors that report
 };
 
 /// Returns how many accelerators of \p service should be free for urgent work: what it took at its latest peak, which fades, less what it
--- a/tests/unit/batch_holding_test.cpp
+++ b/tests/unit/batch_holding_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST_SUITE(BatchHoldingTest);
     CPPUNIT_TEST(gangOfHigherPriorityIsNotOvertakenBySingles);
     CPPUNIT_TEST(singlesGoOnBesideAWaitingGang);
+    CPPUNIT_TEST(silentExecutorsDontCountForTheBound);
     CPPUNIT_TEST(worthlessWorkHoldsNothing);
     CPPUNIT_TEST(urgentWorkFindsRoomWhereUrgentWorkWas);
     CPPUNIT_TEST(reserveFades);
@@ -49,6 +50,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{30}, bench.running("flood").size()); // of 32; at most half of the executors are held
     }
 
+    void silentExecutorsDontCountForTheBound()
+    {
+        LeaderBench bench(8);
+        for (std::size_t executor = 4; executor < 8; ++executor) {
+            bench.silence(executor, true);
+        }
+        bench.pass(1'500ms);
+        flood(bench);
+        bench.submit(gangOf("gang", 4, whole, 10s));
+        endOneOnEach(bench);
+        bench.pass(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{30}, bench.running("flood").size()); // of 32
+    }
+
     void worthlessWorkHoldsNothing()
     {
         LeaderBench bench(4);
