--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -3,6 +3,7 @@
 #include "bergamotwick/bergamotwick.h"
 #include "cli/burn_page.h"
 #include "cli/client.h"
+#include "cli/late.h"
 
 #include <fstream>
 #include <functional>
@@ -327,6 +328,13 @@
     return ExitCode::Ok;
 }
 
+Result<ExitCode> reportLate(const CliOptions &options, const Words &words)
+{
+    BOOST_LEAF_AUTO(report, readLateness(Words(words.begin() + 2, words.end())));
+    printLateness(report, options.json_);
+    return ExitCode::Ok;
+}
+
 /// One command: its words, and how many arguments follow them.
 struct Command
 {
@@ -336,6 +344,9 @@
     Result<ExitCode> (*run_)(const CliOptions &options, const Words &words);
 };
 
+/// More logs than this have to be merged first.
+constexpr std::size_t mostLogs = 1'000;
+
 const std::vector<Command> &commands()
 {
     static const std::vector<Command> all{
@@ -350,6 +361,7 @@
         {{"job", "cancel"}, 1, 1, cancelJob},
         {{"job", "list"}, 0, 0, listJobs},
         {{"report", "burn"}, 0, 0, reportBurn},
+        {{"report", "late"}, 1, mostLogs, reportLate},
     };
     return all;
 }
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -23,6 +23,7 @@
            "  job show|cancel ID\n"
            "  job list\n"
            "  report burn [--html FILE]  error budgets and burn rates\n"
+           "  report late FILE...        late jobs and where their time went, from the logs of entries and agents\n"
            "\n"
            "  --operation NAME           name of a change, so that it can be repeated safely\n"
            "exit: 0 ok, 1 refused or not there, 2 wrong usage or configuration, 3 conflict, 4 no entry answers, 5 differs\n";
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -110,7 +110,10 @@
                    {"repeats", std::to_string(job.submission_.repeats_)},
                    {"constraint", first.constraint_},
                    {"affinity", first.affinity_},
-                   {"estimate_ms", std::to_string(first.estimate_.count())}});
+                   {"estimate_ms", std::to_string(first.estimate_.count())},
+                   {"stretch", std::to_string(job.stretch_)},
+                   {"target_ms", std::to_string(job.targetLatency_.count())},
+                   {"age_ms", std::to_string(age.count())}});
     Job &stored = board_.jobs_.emplace(id, std::move(job)).first->second;
     if (cancelled_.erase(id) > 0) {
         finishJob(board_, stored, JobState::Cancelled, "cancelled");
