Constants and functions of the scheduler's policy get names of the field

beliefInLikeness, mostUnlike, oneHeldOf, worthlessAfter and their like become priorComparisons, maxRatio, executorsPerHeld, maxLateness; an executor while it is chosen for holding is a struct, not a pair.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -27,10 +27,10 @@
 }
 
 /// Nothing listened at the executor's address this many times in a row: it has crashed, and a crashed executor runs nothing.
-constexpr int refusalsOfDead = 2;
+constexpr int refusalsUntilDead = 2;
 
 /// An executor that leaves this many calls in a row without an answer gets no new work.
-constexpr int failuresOfUnwell = 2;
+constexpr int failuresUntilUnhealthy = 2;
 
 }
 
@@ -314,12 +314,12 @@
 {
     refusals_ = failure.refused_ ? refusals_ + 1 : 0;
     lifeConfirmed_ = false;
-    reportDue_ = reportDue_ || failures_ + 1 == failuresOfUnwell;
+    reportDue_ = reportDue_ || failures_ + 1 == failuresUntilUnhealthy;
     ++failures_;
     if (executor_.life_.executor_.empty() || epoch_ == 0) {
         return;
     }
-    if (refusals_ >= refusalsOfDead) {
+    if (refusals_ >= refusalsUntilDead) {
         declareEmpty("executor-gone");
     } else if (clockKnown_ && now_ > lastLeaseEnd_) {
         declareEmpty("lease-over");
@@ -380,7 +380,7 @@
     report.sequence_ = ++sequence_;
     report.sentAt_ = now_.time_since_epoch();
     report.epoch_ = epoch_;
-    report.answers_ = failures_ < failuresOfUnwell;
+    report.answers_ = failures_ < failuresUntilUnhealthy;
     report.listsValid_ = listsValid_;
     report.listedAt_ = listedAt_;
     report.executor_ = executor_;
--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -8,18 +8,18 @@
 
 /// An executor on which tasks of this many jobs have failed in a row is set aside.
 constexpr std::size_t failedJobsToSetAside = 2;
-constexpr milliseconds asideLength{6'000};
+constexpr milliseconds quarantineTime{6'000};
 
 /// For how long a failure makes an executor suspect, and a good end vouches for it.
-constexpr milliseconds suspicionLength{6'000};
-constexpr milliseconds proofLength{10'000};
+constexpr milliseconds suspicionTime{6'000};
+constexpr milliseconds proofTime{10'000};
 
 /// How long a task waits for a proven executor, and then for one that isn't suspect.
 constexpr milliseconds provenPatience{700};
 constexpr milliseconds trustPatience{1'400};
 
 /// At most one executor in this many is set aside.
-constexpr std::size_t oneAsideOf = 3;
+constexpr std::size_t executorsPerSetAside = 3;
 
 /// Returns how many tasks of \p step an empty \p executor holds, up to the step's own number.
 std::int64_t held(const Executor &executor, const Step &step)
@@ -36,7 +36,7 @@
 
 bool isProven(const Board &board, const Executor &executor)
 {
-    return executor.doneAt_ > executor.failedAt_ && board.now_ - executor.doneAt_ < proofLength;
+    return executor.doneAt_ > executor.failedAt_ && board.now_ - executor.doneAt_ < proofTime;
 }
 
 }
@@ -55,7 +55,7 @@
 
 bool isSuspect(const Board &board, const Executor &executor)
 {
-    return executor.failedAt_ > executor.doneAt_ && board.now_ - executor.failedAt_ < suspicionLength;
+    return executor.failedAt_ > executor.doneAt_ && board.now_ - executor.failedAt_ < suspicionTime;
 }
 
 bool mayTake(const Board &board, const WaitingGroup &group, std::size_t index, const Executor &executor)
@@ -110,10 +110,10 @@
 {
     const auto aside = static_cast<std::size_t>(
         std::count_if(board.executors_.begin(), board.executors_.end(), [&board](const auto &entry) { return entry.second.asideUntil_ > board.now_; }));
-    if ((aside + 1) * oneAsideOf > board.executors_.size()) {
+    if ((aside + 1) * executorsPerSetAside > board.executors_.size()) {
         return;
     }
-    executor.asideUntil_ = board.now_ + asideLength;
+    executor.asideUntil_ = board.now_ + quarantineTime;
     board.decide("executor-aside", {{"executor", executor.facts_.life_.executor_.str()}, {"reason", reason}});
 }
 
--- a/src/core/batch/holding.cpp
+++ b/src/core/batch/holding.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 /// At most one executor in this many of those that report is held, so that less pressing work goes on too.
-constexpr std::size_t oneHeldOf = 2;
+constexpr std::size_t executorsPerHeld = 2;
 
 /// At most one accelerator in this many is kept free for urgent work that may come.
-constexpr std::int64_t oneReservedOf = 8;
+constexpr std::int64_t acceleratorsPerReserved = 8;
 
 /// The peak of urgent use counts half after this long.
 constexpr milliseconds peakHalfLife{10'000};
@@ -42,12 +42,16 @@
     return freeRoom(executor, group.job_->submission_.id_, group.group_.first_).accelerators_;
 }
 
-/// An executor and what it has free.
-using Site = std::pair<std::int64_t, const Executor *>;
+/// An executor while what to hold is chosen.
+struct Site
+{
+    std::int64_t free_ = 0; ///< accelerators
+    const Executor *executor_ = nullptr;
+};
 
 void sortEmptiestFirst(std::vector<Site> &sites)
 {
-    std::stable_sort(sites.begin(), sites.end(), [](const Site &left, const Site &right) { return left.first > right.first; });
+    std::stable_sort(sites.begin(), sites.end(), [](const Site &left, const Site &right) { return left.free_ > right.free_; });
 }
 
 /// Returns the rack of \p candidates that holds \p missing tasks when it is empty and has most free now; an empty text if none does.
@@ -94,7 +98,7 @@
 
 bool Holding::isFull() const
 {
-    return (held_.size() + 1) * oneHeldOf > live_;
+    return (held_.size() + 1) * executorsPerHeld > live_;
 }
 
 void Holding::hold(const Executor &executor, std::int32_t priority)
@@ -109,7 +113,7 @@
     std::vector<Site> sites;
     for (const Executor *executor : candidates) {
         if (rack.empty() || executor->rack() == rack) {
-            sites.emplace_back(freeAccelerators(*executor, group), executor);
+            sites.push_back({freeAccelerators(*executor, group), executor});
         }
     }
     sortEmptiestFirst(sites);
@@ -146,10 +150,10 @@
         capacity += executor.facts_.capacity_.accelerators_;
         const std::int64_t free = freeRoom(executor, JobId(), 0).accelerators_;
         if (free > 0 && !held_.contains(id)) {
-            sites.emplace_back(free, &executor);
+            sites.push_back({free, &executor});
         }
     }
-    wanted = std::min(wanted, capacity / oneReservedOf);
+    wanted = std::min(wanted, capacity / acceleratorsPerReserved);
     sortEmptiestFirst(sites);
     for (const auto &[free, site] : sites) {
         if (wanted <= 0 || isFull()) {
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -39,7 +39,7 @@
     for (LeaderInput &input : inputs) {
         std::visit([this](auto &&any) { take(std::forward<decltype(any)>(any)); }, std::move(input));
     }
-    settleSilent(board_);
+    expireSilentLeases(board_);
     moveStuckRuns(board_);
     placeWaiting(board_);
     forgetOld();
--- a/src/core/batch/pace.cpp
+++ b/src/core/batch/pace.cpp
@@ -8,25 +8,25 @@
 namespace {
 
 /// A pace is known once a task has shown this many percent of progress over at least this time: lists are half a second apart.
-constexpr std::int32_t percentOfPace = 3;
-constexpr milliseconds timeOfPace{400};
+constexpr std::int32_t minPacePercent = 3;
+constexpr milliseconds minPaceTime{400};
 
 /// A run is compared once it has done this much.
-constexpr std::int32_t percentOfComparison = 50;
+constexpr std::int32_t comparisonPercent = 50;
 
 /// That executors are alike weighs as much as this many comparisons.
-constexpr double beliefInLikeness = 1;
+constexpr double priorComparisons = 1;
 
 /// A single comparison says no more than this: a task may be larger than its fellows, or an executor sick for a moment.
-constexpr double mostUnlike = 2;
+constexpr double maxRatio = 2;
 
 /// Urgent work keeps off executors on which tasks take this much longer: a part of what its objectives leave.
-constexpr double slowForUrgent = 1.15;
+constexpr double slowRatio = 1.15;
 
 /// Returns how much longer a task takes on \p executor than on the middle one, as far as is known; 1 if nothing is.
 double slownessOf(const Executor &executor)
 {
-    return std::exp(executor.logSlowness_ / (executor.comparisons_ + beliefInLikeness));
+    return std::exp(executor.logSlowness_ / (executor.comparisons_ + priorComparisons));
 }
 
 }
@@ -35,7 +35,7 @@
 {
     const std::int32_t gained = run.percent_ - run.firstPercent_;
     const Duration took = run.progressAt_ - run.listedAt_;
-    if (run.phase_ != RunPhase::Running || gained < percentOfPace || took < timeOfPace) {
+    if (run.phase_ != RunPhase::Running || gained < minPacePercent || took < minPaceTime) {
         return std::nullopt;
     }
     return took / gained;
@@ -71,7 +71,7 @@
 {
     for (const RunId &id : executor.runs_) {
         Run &run = board.runs_.at(id);
-        if (run.compared_ || run.percent_ < percentOfComparison) {
+        if (run.compared_ || run.percent_ < comparisonPercent) {
             continue;
         }
         run.compared_ = true;
@@ -80,7 +80,7 @@
         const auto fellows = step.affinity_.empty() ? paceOfFellows(board, run) : std::nullopt; // nearness to data would be taken for speed
         if (own && fellows && fellows->count() > 0) {
             const double ratio = static_cast<double>(own->count()) / static_cast<double>(fellows->count());
-            executor.logSlowness_ += std::log(std::clamp(ratio, 1 / mostUnlike, mostUnlike));
+            executor.logSlowness_ += std::log(std::clamp(ratio, 1 / maxRatio, maxRatio));
             executor.comparisons_ += 1;
         }
     }
@@ -88,7 +88,7 @@
 
 bool isSlowForUrgent(const Executor &executor)
 {
-    return slownessOf(executor) > slowForUrgent;
+    return slownessOf(executor) > slowRatio;
 }
 
 }
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// After this many times its objective a job earns its caller nothing more.
-constexpr int worthlessAfter = 3;
+constexpr int maxLateness = 3;
 
 bool isDue(const Board &board, const Submission &job, std::uint32_t occurrence)
 {
@@ -66,7 +66,7 @@
     urgency.priority_ = job.priority_;
     urgency.latestStart_ = latestStart(board, job, group.step_);
     urgency.late_ = urgency.latestStart_ < board.now_;
-    urgency.worthless_ = urgency.latestStart_ + (worthlessAfter - 1) * objectiveOf(board, job) < board.now_;
+    urgency.worthless_ = urgency.latestStart_ + (maxLateness - 1) * objectiveOf(board, job) < board.now_;
     urgency.job_ = job.submission_.id_;
     return urgency;
 }
--- a/src/core/batch/run_times.cpp
+++ b/src/core/batch/run_times.cpp
@@ -8,18 +8,18 @@
 namespace {
 
 /// The line is fitted around this estimate, so that its height and slope are learned apart.
-constexpr double usualEstimateMs = 3'000;
+constexpr double referenceEstimateMs = 3'000;
 
-/// The belief in the estimate weighs as much as this many runs, for the line's height and for its slope.
-constexpr double beliefInHeight = 1;
-constexpr double beliefInSlope = 1;
+/// The caller's estimate weighs as much as this many runs, for the offset of the line and for its slope.
+constexpr double priorOffsetWeight = 1;
+constexpr double priorSlopeWeight = 1;
 
 /// No estimate is taken to be further off than this.
-constexpr double mostOff = 20;
+constexpr double maxCorrection = 20;
 
 double logOf(milliseconds length)
 {
-    return std::log(static_cast<double>(std::max<std::int64_t>(1, length.count())) / usualEstimateMs);
+    return std::log(static_cast<double>(std::max<std::int64_t>(1, length.count())) / referenceEstimateMs);
 }
 
 }
@@ -43,12 +43,12 @@
         return estimate;
     }
     const Sums &sums = found->second;
-    const double height = sums.count_ + beliefInHeight;
-    const double slope = sums.xx_ + beliefInSlope;
-    const double determinant = height * slope - sums.x_ * sums.x_; // above zero: both beliefs are
+    const double height = sums.count_ + priorOffsetWeight;
+    const double slope = sums.xx_ + priorSlopeWeight;
+    const double determinant = height * slope - sums.x_ * sums.x_; // above zero: both prior weights are
     const double base = (sums.y_ * slope - sums.x_ * sums.xy_) / determinant;
     const double rise = (sums.xy_ * height - sums.x_ * sums.y_) / determinant;
-    const double factor = std::clamp(std::exp(base + rise * logOf(estimate)), 1 / mostOff, mostOff);
+    const double factor = std::clamp(std::exp(base + rise * logOf(estimate)), 1 / maxCorrection, maxCorrection);
     return milliseconds(std::max<std::int64_t>(1, std::llround(static_cast<double>(estimate.count()) * factor)));
 }
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -417,7 +417,7 @@
     }
 }
 
-void settleSilent(Board &board)
+void expireSilentLeases(Board &board)
 {
     if (!board.mayOrder()) {
         return; // perhaps agents are silent because they obey another leader
--- a/src/core/batch/runs.h
+++ b/src/core/batch/runs.h
@@ -19,6 +19,6 @@
 void finishJob(Board &board, Job &job, JobState state, const char *reason);
 
 /// Settles runs on executors that have been silent for so long that their leases have ended.
-void settleSilent(Board &board);
+void expireSilentLeases(Board &board);
 
 }
--- a/src/core/batch/stalls.cpp
+++ b/src/core/batch/stalls.cpp
@@ -12,30 +12,30 @@
 namespace {
 
 /// A task that shows no progress for this long stands still. Its percent rises every 0.3 s even when it is slowed threefold.
-constexpr milliseconds standstill{2'500};
+constexpr milliseconds maxStallTime{2'500};
 
-/// Where the pace of a task is known, no progress in the time of this many of its steps is enough, but never less than quickStandstill.
-constexpr int stepsOfStandstill = 10;
-constexpr milliseconds quickStandstill{1'000};
+/// Where the pace of a task is known, no progress in the time of this many of its steps is enough, but never less than minStallTime.
+constexpr int stallSteps = 10;
+constexpr milliseconds minStallTime{1'000};
 
 /// A task has worked for this long before it can be said to crawl.
-constexpr milliseconds timeOfCrawl{1'500};
+constexpr milliseconds minCrawlTime{1'500};
 
 /// A task that crawls is moved if that ends it in less than half of the time that it has left; a restart itself takes this long.
-constexpr int gainOfMove = 2;
+constexpr int minMoveGain = 2;
 constexpr milliseconds restartTime{1'000};
 
 /// How much slower than its fellows a task must be beyond what lying away from its data explains.
-constexpr double slowerThanSpread = 0.5;
+constexpr double crawlMargin = 0.5;
 
 /// A job's tasks are moved for crawling at most this often, in case they do differ.
-constexpr std::uint32_t movesOfJob = 3;
+constexpr std::uint32_t maxMovesPerJob = 3;
 
 /// From this percent on a draining executor's runs are judged by their own progress.
-constexpr std::int32_t leastPercent = 4;
+constexpr std::int32_t minPercent = 4;
 
 /// Percent of a gang's member that has done its part and waits for the others.
-constexpr std::int32_t partDone = 99;
+constexpr std::int32_t finishedPercent = 99;
 
 enum class StuckReason : std::uint8_t {
     Standstill,
@@ -59,19 +59,19 @@
 bool standsStill(const Board &board, const Run &run, const Executor &executor)
 {
     const Duration still = executor.listedAt_ - run.progressAt_;
-    if (still <= quickStandstill) {
+    if (still <= minStallTime) {
         return false;
     }
     const auto own = paceOf(run);
     const auto pace = own ? own : paceOfFellows(board, run);
-    const Duration limit = pace ? std::clamp<Duration>(*pace * stepsOfStandstill, quickStandstill, standstill) : Duration(standstill);
+    const Duration limit = pace ? std::clamp<Duration>(*pace * stallSteps, minStallTime, maxStallTime) : Duration(maxStallTime);
     return still > limit;
 }
 
 bool crawls(const Board &board, const Run &run, const Executor &executor)
 {
     const Duration worked = executor.listedAt_ - run.listedAt_;
-    if (worked <= timeOfCrawl || board.jobs_.at(run.id_.task_.job_).moves_ >= movesOfJob) {
+    if (worked <= minCrawlTime || board.jobs_.at(run.id_.task_.job_).moves_ >= maxMovesPerJob) {
         return false;
     }
     const auto fellows = paceOfFellows(board, run);
@@ -80,8 +80,8 @@
     }
     const Duration pace = paceOf(run).value_or(worked / std::max(1, run.percent_ - run.firstPercent_));
     const Duration left = pace * (100 - run.percent_);
-    const bool slow = static_cast<double>(pace.count()) > static_cast<double>(fellows->count()) * (board.limits_.spreadFactor_ + slowerThanSpread);
-    return slow && left > gainOfMove * (*fellows * 100 + restartTime);
+    const bool slow = static_cast<double>(pace.count()) > static_cast<double>(fellows->count()) * (board.limits_.spreadFactor_ + crawlMargin);
+    return slow && left > minMoveGain * (*fellows * 100 + restartTime);
 }
 
 /// Returns whether \p run can't end before its executor leaves.
@@ -90,7 +90,7 @@
     if (!executor.facts_.draining_ || step.longRunning_) {
         return false;
     }
-    const milliseconds left = run.percent_ >= leastPercent ? restAtPace(board, run) : step.estimate_;
+    const milliseconds left = run.percent_ >= minPercent ? restAtPace(board, run) : step.estimate_;
     return left > executor.facts_.remaining_;
 }
 
@@ -100,7 +100,7 @@
         return std::nullopt;
     }
     const Step &step = board.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_];
-    const bool progresses = run.percent_ < partDone && !step.longRunning_ && !step.fills_;
+    const bool progresses = run.percent_ < finishedPercent && !step.longRunning_ && !step.fills_;
     if (progresses && standsStill(board, run, executor)) {
         return StuckReason::Standstill;
     }
