--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -27,9 +27,6 @@
 /// guarantee must be had back covers a stop and a start.
 constexpr milliseconds guaranteedPatience{1'000};
 
-/// How long work that has been stopped is likely to wait for its next start.
-constexpr milliseconds waitAfterStop{1'000};
-
 /// What a run with checkpoints loses by a stop: it has to be loaded again.
 constexpr milliseconds restoreLoss{500};
 
@@ -49,25 +46,6 @@
     return weightOf(step) * members * std::max<std::int64_t>(1, lost.count());
 }
 
-/// Returns whether the job of \p run is in time so far, but not if the run is stopped and has to begin again.
-bool wouldBeLate(const Board &board, const Run &run)
-{
-    const Job &job = board.jobs_.at(run.id_.task_.job_);
-    const Step &step = job.submission_.steps_[run.id_.task_.step_];
-    const Instant latest = latestStart(board, job, run.id_.task_.step_);
-    const milliseconds saved = step.checkpoints_ ? board.expectedTime(job, step) * run.percent_ / 100 : milliseconds(0);
-    return run.startedAt_ <= latest && latest + saved < board.now_ + board.limits_.stopLimit_ + waitAfterStop;
-}
-
-/// What a stop of \p run costs: the work that it throws away, and all that its step brings if that is then too late.
-std::int64_t costOfStop(const Board &board, const Run &run)
-{
-    const Job &job = board.jobs_.at(run.id_.task_.job_);
-    const Step &step = job.submission_.steps_[run.id_.task_.step_];
-    const std::int64_t late = wouldBeLate(board, run) ? weightOf(step) * step.count_ * board.expectedTime(job, step).count() : 0;
-    return lostWork(board, run) + late;
-}
-
 /// Work that \p group brings, in the same unit.
 std::int64_t ownWork(const Board &board, const WaitingGroup &group)
 {
@@ -141,7 +119,7 @@
         if (run.phase_ == RunPhase::Stopping || (rest && *rest < horizon)) {
             site.free_ += run.room_;
         } else if (job.priority_ > group.job_->priority_ && !step.longRunning_) {
-            addVictim(site.victims_, {costOfStop(board, run), id, step.gang_, run.room_});
+            addVictim(site.victims_, {lostWork(board, run), id, step.gang_, run.room_});
         }
     }
     std::sort(site.victims_.begin(), site.victims_.end(), [](const Victim &left, const Victim &right) {
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -55,29 +55,22 @@
     friend auto operator<=>(const Urgency &, const Urgency &) = default;
 };
 
-Duration objectiveOf(const Board &board, const Job &job)
-{
-    return std::chrono::duration_cast<Duration>(remainingChain(board, job, 0) * job.stretch_) + job.targetLatency_;
-}
-
 Urgency urgencyOf(const Board &board, const Job &job, const Group &group)
 {
+    const milliseconds chain = remainingChain(board, job, 0);
+    const auto objective = std::chrono::duration_cast<Duration>(chain * job.stretch_) + job.targetLatency_;
+    const milliseconds left = remainingChain(board, job, group.step_);
     Urgency urgency;
     urgency.priority_ = job.priority_;
-    urgency.latestStart_ = latestStart(board, job, group.step_);
+    urgency.latestStart_ = job.acceptedAt_ + objective - left;
     urgency.late_ = urgency.latestStart_ < board.now_;
-    urgency.worthless_ = urgency.latestStart_ + (maxLateness - 1) * objectiveOf(board, job) < board.now_;
+    urgency.worthless_ = job.acceptedAt_ + maxLateness * objective - left < board.now_;
     urgency.job_ = job.submission_.id_;
     return urgency;
 }
 
 }
 
-Instant latestStart(const Board &board, const Job &job, std::uint32_t step)
-{
-    return job.acceptedAt_ + objectiveOf(board, job) - remainingChain(board, job, step);
-}
-
 milliseconds remainingChain(const Board &board, const Job &job, std::uint32_t step)
 {
     // Steps only wait for earlier ones, so a walk from the last step back meets each after all that follow it.
--- a/src/core/batch/queueing.h
+++ b/src/core/batch/queueing.h
@@ -18,9 +18,6 @@
 /// instant at which it has to start. Answers bursts: late work never holds up work that is still in time.
 [[nodiscard]] std::vector<WaitingGroup> waitingGroups(Board &board);
 
-/// Returns when \p step has to start for \p job to meet its objective.
-[[nodiscard]] Instant latestStart(const Board &board, const Job &job, std::uint32_t step);
-
 /// Returns the longest chain of likely run times from \p step to the end of its job.
 [[nodiscard]] milliseconds remainingChain(const Board &board, const Job &job, std::uint32_t step);
 
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -11,8 +11,6 @@
     CPPUNIT_TEST(gangThatStandsStillIsStopped);
     CPPUNIT_TEST(memberThatStandsStillIsFoundWhileOthersWork);
     CPPUNIT_TEST(urgentWorkTakesCheapVictims);
-    CPPUNIT_TEST(stopSparesWorkThatItWouldMakeLate);
-    CPPUNIT_TEST(workThatIsLateAnywayIsNotSpared);
     CPPUNIT_TEST(unguaranteedWorkThrowsNothingLargeAway);
     CPPUNIT_TEST(guaranteedWorkWaitsForAnEndThatIsNear);
     CPPUNIT_TEST(clearedRoomIsKeptUntilAllOfItIsUsed);
@@ -78,23 +76,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("urgent").size());
     }
 
-    /// Answers bursts of urgent work in a fleet of gangs that have waited long: what is younger isn't always cheaper to stop.
-    void stopSparesWorkThatItWouldMakeLate()
-    {
-        LeaderBench bench(2);
-        stopOneOfTwo(bench, "tight", 18'500ms); // has to start within 20 s of its acceptance
-        CPPUNIT_ASSERT(bench.wasStopped("loose"));
-        CPPUNIT_ASSERT(!bench.wasStopped("tight"));
-    }
-
-    void workThatIsLateAnywayIsNotSpared()
-    {
-        LeaderBench bench(2);
-        stopOneOfTwo(bench, "late", 25s);
-        CPPUNIT_ASSERT(bench.wasStopped("late"));
-        CPPUNIT_ASSERT(!bench.wasStopped("loose"));
-    }
-
     void unguaranteedWorkThrowsNothingLargeAway()
     {
         LeaderBench bench(3);
@@ -221,18 +202,6 @@
     }
 
 private:
-    /// Hands in urgent work where "loose" has worked for longer than \p other, which waited for \p ago.
-    static void stopOneOfTwo(LeaderBench &bench, const std::string &other, batch::milliseconds ago)
-    {
-        bench.submit(jobOf("loose", 1, whole, 10s));
-        bench.pass(1s);
-        bench.submit(jobOf(other, 1, whole, 10s), ago);
-        bench.pass(500ms);
-        bench.progressAll(1);
-        bench.submit(urgentJob("urgent", 1, whole, 2s));
-        bench.pass(1200ms);
-    }
-
     static constexpr batch::Room half{1'000, 1'000, 4};
 
     /// Lets time pass in which everything progresses by a percent each half second.
