Give guaranteed work its resources before all others of its priority

Change: updateGuarantees() marks once a pass, for each workspace, the earliest accepted jobs of priority 0 that together fit its guarantee; queueing, holding, reservations, racks and preemption read that mark. Guaranteed groups come first, may use what is held or reserved for unguaranteed ones, and stop unguaranteed work of any priority. A job stays guaranteed until it ends, since only earlier ones count against it, so that a stop never makes another the victim in turn.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -114,6 +114,7 @@
     std::uint64_t storedVersion_ = 0;
     Instant acceptedAt_{};
     std::int32_t priority_ = 0;
+    bool guaranteed_ = false; ///< its work fits its workspace's guarantee; set by updateGuarantees()
     std::int32_t maxAttempts_ = 1;
     double stretch_ = 1.0;
     milliseconds targetLatency_{0};
--- a/src/core/batch/holding.cpp
+++ b/src/core/batch/holding.cpp
@@ -37,9 +37,9 @@
     return static_cast<std::int64_t>(decayedPeak(demand->second, cluster.now_)) - demand->second.used_;
 }
 
-std::int64_t freeAccelerators(const Executor &executor, const WaitingGroup &group)
+std::int64_t freeAccelerators(const ClusterState &cluster, const Executor &executor, const WaitingGroup &group)
 {
-    return freeResources(executor, group.job_->submission_.id_, group.group_.first_).accelerators_;
+    return freeResources(cluster, executor, group).accelerators_;
 }
 
 /// An executor that may be held.
@@ -57,7 +57,7 @@
 
 /// Returns the rack of \p candidates that would fit \p missing tasks when empty and has the most free accelerators now, or an empty string if
 /// none would.
-std::string rackToHold(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing)
+std::string rackToHold(const ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
     struct RackTotals
@@ -69,7 +69,7 @@
     for (const Executor *executor : candidates) {
         RackTotals &totals = racks[executor->rack()];
         totals.taskCapacity_ += executor->info_.capacity_.countFitting(step.countedDemand(), step.count_);
-        totals.freeAccelerators_ += freeAccelerators(*executor, group);
+        totals.freeAccelerators_ += freeAccelerators(cluster, *executor, group);
     }
     std::string best;
     std::int64_t free = -1;
@@ -93,10 +93,10 @@
 {
 }
 
-bool ExecutorHolds::mayUse(const Executor &executor, std::int32_t priority) const
+bool ExecutorHolds::mayUse(const Executor &executor, std::int32_t rank) const
 {
     const auto held = held_.find(executor.info_.incarnation_.executor_);
-    return held == held_.end() || priority <= held->second;
+    return held == held_.end() || rank <= held->second;
 }
 
 bool ExecutorHolds::isLimitReached() const
@@ -104,19 +104,19 @@
     return (held_.size() + 1) * executorsPerHeld > reportingExecutors_;
 }
 
-void ExecutorHolds::hold(const Executor &executor, std::int32_t priority)
+void ExecutorHolds::hold(const Executor &executor, std::int32_t rank)
 {
-    held_.try_emplace(executor.info_.incarnation_.executor_, priority);
+    held_.try_emplace(executor.info_.incarnation_.executor_, rank);
 }
 
 std::size_t ExecutorHolds::holdFor(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
-    const std::string rack = prefersRack(step) ? rackToHold(group, candidates, missing) : std::string();
+    const std::string rack = prefersRack(step) ? rackToHold(cluster_, group, candidates, missing) : std::string();
     std::vector<Candidate> sorted;
     for (const Executor *executor : candidates) {
         if (rack.empty() || executor->rack() == rack) {
-            sorted.push_back({freeAccelerators(*executor, group), executor});
+            sorted.push_back({freeAccelerators(cluster_, *executor, group), executor});
         }
     }
     sortByFreeAccelerators(sorted);
@@ -132,7 +132,7 @@
         const std::int64_t fittingTasks
             = std::min<std::int64_t>(antiAffinityHeadroom(*executor, group), executor->info_.capacity_.countFitting(step.countedDemand(), step.count_));
         if (fittingTasks > 0) {
-            hold(*executor, group.job_->priority_);
+            hold(*executor, group.rank());
             missingTasks -= fittingTasks;
         }
     }
@@ -152,7 +152,7 @@
             continue;
         }
         capacity += executor.info_.capacity_.accelerators_;
-        const std::int64_t free = freeResources(executor, JobId(), 0).accelerators_;
+        const std::int64_t free = freeResources(executor).accelerators_;
         if (free > 0 && !held_.contains(id)) {
             sorted.push_back({free, &executor});
         }
--- a/src/core/batch/holding.h
+++ b/src/core/batch/holding.h
@@ -17,8 +17,8 @@
 public:
     explicit ExecutorHolds(const ClusterState &cluster);
 
-    /// Returns whether work of \p priority may use \p executor.
-    [[nodiscard]] bool mayUse(const Executor &executor, std::int32_t priority) const;
+    /// Returns whether work of \p rank, see WaitingGroup::rank(), may use \p executor.
+    [[nodiscard]] bool mayUse(const Executor &executor, std::int32_t rank) const;
 
     /// Holds some of \p candidates for the \p missing tasks of \p group that could not be placed. Returns the number of executors held.
     std::size_t holdFor(const WaitingGroup &group, const std::vector<Executor *> &candidates, std::size_t missing);
@@ -27,11 +27,11 @@
     void holdUrgentReserve(const ServiceId &service);
 
 private:
-    void hold(const Executor &executor, std::int32_t priority);
+    void hold(const Executor &executor, std::int32_t rank);
     [[nodiscard]] bool isLimitReached() const;
 
     const ClusterState &cluster_;
-    std::map<ExecutorId, std::int32_t> held_; ///< by executor: lowest priority that may use it
+    std::map<ExecutorId, std::int32_t> held_; ///< by executor: highest rank number that may use it
     std::set<ServiceId> reservedServices_;
     std::size_t reportingExecutors_ = 0; ///< number of executors with a recent report
 };
--- a/src/core/batch/ledger.cpp
+++ b/src/core/batch/ledger.cpp
@@ -6,12 +6,36 @@
 
 namespace bergamotwick::batch {
 
-ResourceVector freeResources(const Executor &executor, const JobId &job, std::size_t group)
+namespace {
+
+/// Returns whether \p group must leave alone what is reserved for the group of \p holder that starts with task \p first.
+bool isBoundBy(const ClusterState &cluster, const WaitingGroup &group, const JobId &holder, std::size_t first)
+{
+    if (holder == group.job_->submission_.id_ && first == group.group_.first_) {
+        return false;
+    }
+    const auto job = cluster.jobs_.find(holder);
+    return !group.guaranteed_ || (job != cluster.jobs_.end() && job->second.guaranteed_);
+}
+
+}
+
+ResourceVector freeResources(const Executor &executor)
+{
+    ResourceVector available = executor.info_.capacity_;
+    available -= executor.used_;
+    for (const auto &[holder, reserved] : executor.reserved_) {
+        available -= reserved;
+    }
+    return available;
+}
+
+ResourceVector freeResources(const ClusterState &cluster, const Executor &executor, const WaitingGroup &group)
 {
     ResourceVector available = executor.info_.capacity_;
     available -= executor.used_;
     for (const auto &[holder, reserved] : executor.reserved_) {
-        if (holder.first != job || holder.second != group) {
+        if (isBoundBy(cluster, group, holder.first, holder.second)) {
             available -= reserved;
         }
     }
--- a/src/core/batch/ledger.h
+++ b/src/core/batch/ledger.h
@@ -1,15 +1,18 @@
 #pragma once
 
-#include "core/batch/board.h"
+#include "core/batch/queueing.h"
 
 namespace bergamotwick::batch {
 
 /// Resource accounting for executors. A run occupies resources from the decision to start it until its end is certain; runs that are
 /// starting, stopping or of unknown state all count. Thread safety of all functions: none; one thread owns the cluster state.
 
-/// Returns the resources of \p executor that are neither used by runs nor reserved for other groups than the one of \p job whose first task
-/// is \p group.
-[[nodiscard]] ResourceVector freeResources(const Executor &executor, const JobId &job, std::size_t group);
+/// Returns the resources of \p executor that are neither used by runs nor reserved for a group.
+[[nodiscard]] ResourceVector freeResources(const Executor &executor);
+
+/// Returns the resources of \p executor that \p group may use: those that are neither used by runs nor reserved for other groups. Reservations
+/// of unguaranteed groups don't bind a guaranteed one.
+[[nodiscard]] ResourceVector freeResources(const ClusterState &cluster, const Executor &executor, const WaitingGroup &group);
 
 /// Adds \p run and its resource use. Precondition: its job and executor are known and the run hasn't been added yet.
 void addRun(ClusterState &cluster, Run run);
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -1,6 +1,7 @@
 #include "core/batch/placing.h"
 
 #include "core/batch/advising.h"
+#include "core/batch/guarantees.h"
 #include "core/batch/health.h"
 #include "core/batch/holding.h"
 #include "core/batch/ledger.h"
@@ -27,7 +28,7 @@
         , group_(group)
     {
         for (const Executor *executor : executors) {
-            const ResourceVector free = freeResources(*executor, group.job_->submission_.id_, group.group_.first_);
+            const ResourceVector free = freeResources(cluster, *executor, group);
             candidates_.push_back({executor,
                                    free,
                                    antiAffinityHeadroom(*executor, group),
@@ -116,7 +117,7 @@
 Placement placeWithRackPreference(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group)
 {
     Placement best;
-    for (const std::string &rack : preferredRacks(group, executors)) {
+    for (const std::string &rack : preferredRacks(cluster, group, executors)) {
         Placement placement = placeTasks(cluster, executors, group, rack, true);
         if (placement.size() > best.size()) {
             best = std::move(placement);
@@ -260,6 +261,7 @@
     if (!cluster.mayIssueOrders()) {
         return;
     }
+    updateGuarantees(cluster);
     const std::vector<WaitingGroup> waiting = waitingGroups(cluster);
     if (waiting.empty()) {
         return; // the usual case: most steps only process reports
@@ -272,7 +274,7 @@
         }
         std::vector<Executor *> executors = findCandidates(cluster, group);
         relaxExclusionsIfNeeded(cluster, *group.job_, group.group_, executors);
-        std::erase_if(executors, [&](const Executor *executor) { return !holds.mayUse(*executor, group.job_->priority_); });
+        std::erase_if(executors, [&](const Executor *executor) { return !holds.mayUse(*executor, group.rank()); });
         const Placement placement = findPlacement(cluster, executors, group);
         if (!placement.empty()) {
             assign(cluster, group, placement);
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -1,6 +1,5 @@
 #include "core/batch/preemption.h"
 
-#include "core/batch/guarantees.h"
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
 #include "core/batch/pace.h"
@@ -108,10 +107,18 @@
     }
 }
 
+/// Returns whether tasks of \p step of \p job may be stopped for \p group. Work of the same priority yields only to a guaranteed group, and
+/// only if it isn't guaranteed itself.
+bool mayStop(const WaitingGroup &group, const Job &job, const Step &step)
+{
+    const bool yields = job.priority_ > group.job_->priority_ || (group.guaranteed_ && !job.guaranteed_);
+    return yields && !step.longRunning_;
+}
+
 /// Returns \p executor as a candidate for \p group. Counts the resources of runs that are expected to end within \p horizon as free.
 Candidate candidateFor(const ClusterState &cluster, Executor &executor, const WaitingGroup &group, milliseconds horizon)
 {
-    Candidate candidate{&executor, freeResources(executor, group.job_->submission_.id_, group.group_.first_), antiAffinityHeadroom(executor, group), {}};
+    Candidate candidate{&executor, freeResources(cluster, executor, group), antiAffinityHeadroom(executor, group), {}};
     for (const RunId &id : executor.runs_) {
         const Run &run = cluster.runs_.at(id);
         const Job &job = cluster.jobs_.at(id.task_.job_);
@@ -119,7 +126,7 @@
         const auto remaining = expectedRemainingTime(cluster, run);
         if (run.phase_ == RunPhase::Stopping || (remaining && *remaining < horizon)) {
             candidate.free_ += run.resources_;
-        } else if (job.priority_ > group.job_->priority_ && !step.longRunning_) {
+        } else if (mayStop(group, job, step)) {
             addVictim(candidate.victims_, {lostWork(cluster, run), id, step.gang_, run.resources_});
         }
     }
@@ -283,11 +290,11 @@
 }
 
 /// Returns the cheapest plan. Compares the work lost by a rack-local plan with the time that the group would lose on other racks. A group that
-/// isn't \p guaranteed uses other racks only after it has waited for its rack.
-std::optional<PreemptionPlan> cheapestPlan(const ClusterState &cluster, const std::vector<Candidate> &candidates, const WaitingGroup &group, bool guaranteed)
+/// isn't guaranteed uses other racks only after it has waited for its rack.
+std::optional<PreemptionPlan> cheapestPlan(const ClusterState &cluster, const std::vector<Candidate> &candidates, const WaitingGroup &group)
 {
     const bool isRackSensitive = prefersRack(group.job_->submission_.steps_[group.group_.step_]);
-    if (isRackSensitive && !guaranteed && !hasWaitedForRack(cluster, group)) {
+    if (isRackSensitive && !group.guaranteed_ && !hasWaitedForRack(cluster, group)) {
         return cheapestRackLocalPlan(cluster, candidates, group);
     }
     auto anyRack = planPreemption(cluster, candidates, group);
@@ -312,8 +319,7 @@
         }
         release(cluster, job, group.group_.first_);
     }
-    const bool guaranteed = isGuaranteed(cluster, job);
-    if (group.late_ && !guaranteed) {
+    if (group.late_ && !group.guaranteed_) {
         return; // preemption would lose work and the group would miss its objective anyway
     }
     const auto waited = std::chrono::duration_cast<milliseconds>(cluster.now_ - job.acceptedAt_);
@@ -323,8 +329,8 @@
     for (Executor *executor : executors) {
         candidates.push_back(candidateFor(cluster, *executor, group, horizon));
     }
-    const auto plan = cheapestPlan(cluster, candidates, group, guaranteed);
-    if (!plan || (!guaranteed && plan->lostWork_ > groupWork(cluster, group))) {
+    const auto plan = cheapestPlan(cluster, candidates, group);
+    if (!plan || (!group.guaranteed_ && plan->lostWork_ > groupWork(cluster, group))) {
         return;
     }
     const milliseconds wait = plan->victims_.empty() ? std::max(horizon, cluster.limits_.stopLimit_) : cluster.limits_.stopLimit_;
@@ -332,7 +338,7 @@
     cluster.logEvent("room-cleared",
                      {{"job", job.submission_.id_.str()},
                       {"victims", std::to_string(plan->victims_.size())},
-                      {"guaranteed", guaranteed ? "yes" : "no"},
+                      {"guaranteed", group.guaranteed_ ? "yes" : "no"},
                       {"lost", std::to_string(plan->lostWork_)}});
     for (const RunId &victim : plan->victims_) {
         stopRun(cluster, victim, "preempted");
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -46,7 +46,7 @@
 
 struct Urgency
 {
-    std::int32_t priority_ = 0;
+    std::int32_t rank_ = 0;
     bool zeroValue_ = false;
     bool late_ = false;
     Instant latestStart_{};
@@ -61,7 +61,7 @@
     const auto objective = std::chrono::duration_cast<Duration>(criticalPath * job.stretch_) + job.targetLatency_;
     const milliseconds remaining = remainingCriticalPath(cluster, job, group.step_);
     Urgency urgency;
-    urgency.priority_ = job.priority_;
+    urgency.rank_ = job.guaranteed_ ? guaranteedRank : job.priority_;
     urgency.latestStart_ = job.acceptedAt_ + objective - remaining;
     urgency.late_ = urgency.latestStart_ < cluster.now_;
     urgency.zeroValue_ = job.acceptedAt_ + zeroValueFactor * objective - remaining < cluster.now_;
@@ -103,7 +103,7 @@
             std::vector<std::size_t> tasks = waitingTasks(job, group);
             if (!tasks.empty() && areDependenciesDone(job, group, groups)) {
                 const Urgency urgency = urgencyOf(cluster, job, group);
-                found.emplace_back(urgency, WaitingGroup{&job, group, std::move(tasks), urgency.late_, urgency.zeroValue_});
+                found.emplace_back(urgency, WaitingGroup{&job, group, std::move(tasks), job.guaranteed_, urgency.late_, urgency.zeroValue_});
             }
         }
     }
--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -1,6 +1,5 @@
 #include "core/batch/racks.h"
 
-#include "core/batch/guarantees.h"
 #include "core/batch/ledger.h"
 
 #include <algorithm>
@@ -36,7 +35,7 @@
     const Job &job = *group.job_;
     const auto expectedMs = static_cast<double>(cluster.expectedTime(job, job.submission_.steps_[group.group_.step_]).count());
     const milliseconds loss(static_cast<std::int64_t>(expectedMs * (cluster.limits_.spreadFactor_ - 1)));
-    if (job.priority_ == 0 && isGuaranteed(cluster, job)) {
+    if (group.guaranteed_) {
         return std::min(loss / 2, maxGuaranteedRackWait);
     }
     return isBusy(cluster, job.submission_.service_) ? loss * 2 : loss / 2;
@@ -64,7 +63,7 @@
     return step.sameRack_ || !step.affinity_.empty();
 }
 
-std::vector<std::string> preferredRacks(const WaitingGroup &group, const std::vector<Executor *> &candidates)
+std::vector<std::string> preferredRacks(const ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &candidates)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
     if (!step.sameRack_) {
@@ -72,7 +71,7 @@
     }
     std::map<std::string, std::int64_t> free;
     for (const Executor *executor : candidates) {
-        free[executor->rack()] += freeResources(*executor, group.job_->submission_.id_, group.group_.first_).accelerators_;
+        free[executor->rack()] += freeResources(cluster, *executor, group).accelerators_;
     }
     std::vector<std::string> racks;
     racks.reserve(free.size());
--- a/src/core/batch/racks.h
+++ b/src/core/batch/racks.h
@@ -15,7 +15,7 @@
 
 /// Returns the racks on which \p group would run at full speed, those with the fewest free accelerators first, to limit fragmentation of the
 /// others. Precondition: prefersRack().
-[[nodiscard]] std::vector<std::string> preferredRacks(const WaitingGroup &group, const std::vector<Executor *> &candidates);
+[[nodiscard]] std::vector<std::string> preferredRacks(const ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &candidates);
 
 /// Returns whether all tasks of \p group are placed on a rack where they run at full speed. Precondition: all have been assigned.
 [[nodiscard]] bool isRackLocal(const ClusterState &cluster, const Job &job, const Group &group);
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -57,6 +57,15 @@
         advanceTime(100ms);
     }
 
+    /// Guarantees \p accelerators to \p workspace.
+    void setGuarantee(const std::string &workspace, std::int64_t accelerators)
+    {
+        std::erase_if(config_.workspaces_, [&workspace](const batch::Workspace &other) { return other.name_ == WorkspaceId(workspace); });
+        config_.workspaces_.push_back({WorkspaceId(workspace), {}, accelerators});
+        ++config_.version_;
+        step({batch::ConfigChanged{config_}});
+    }
+
     /// Advances time by \p duration in steps of at most 100 ms. All executors that aren't silent report in each step.
     void advanceTime(Duration duration)
     {
@@ -77,6 +86,15 @@
         }
     }
 
+    /// Advances time by \p duration while all runs progress by one percent every half second.
+    void advanceWithProgress(Duration duration)
+    {
+        for (Duration elapsed{0}; elapsed < duration; elapsed += 500ms) {
+            progressAll(1);
+            advanceTime(500ms);
+        }
+    }
+
     /// Advances time by \p duration without a renewal of the leader's lease, as in a store outage.
     void advanceTimeWithoutStore(Duration duration)
     {
@@ -280,6 +298,13 @@
     std::int64_t revision_ = 10;
 };
 
+/// Returns \p job as a job of \p workspace.
+inline batch::Submission inWorkspace(batch::Submission job, const std::string &workspace)
+{
+    job.workspace_ = WorkspaceId(workspace);
+    return job;
+}
+
 /// Returns a job of one step in the queue of priority 0.
 inline batch::Submission urgentJob(const std::string &id, std::uint32_t count, batch::ResourceVector taskDemand, milliseconds runTime)
 {
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -116,11 +116,11 @@
     {
         LeaderBench bench(2);
         bench.submit(makeJob("old", 1, half, 60s));
-        advanceWithProgress(bench, 6s);
+        bench.advanceWithProgress(6s);
         bench.submit(makeGang("gang", 2, half, 60s));
-        advanceWithProgress(bench, 500ms);
+        bench.advanceWithProgress(500ms);
         bench.submit(makeJob("young", 1, half, 60s));
-        advanceWithProgress(bench, 1500ms);
+        bench.advanceWithProgress(1500ms);
         bench.submit(urgentJob("urgent", 2, half, 2s));
         bench.advanceTime(1s);
         CPPUNIT_ASSERT(bench.wasStopped("gang"));
@@ -133,7 +133,7 @@
     {
         LeaderBench bench(2);
         bench.submit(makeGang("gang", 4, half, 60s));
-        advanceWithProgress(bench, 2s);
+        bench.advanceWithProgress(2s);
         // Has more work than is lost by stopping the gang once, but less than three times that loss.
         batch::Submission urgent = urgentJob("urgent", 3, half, 4s);
         urgent.workspace_ = WorkspaceId("without-guarantee");
@@ -204,15 +204,6 @@
 
 private:
     static constexpr batch::ResourceVector half{1'000, 1'000, 4};
-
-    /// Advances time while all runs progress by one percent every half second.
-    static void advanceWithProgress(LeaderBench &bench, Duration duration)
-    {
-        for (Duration elapsed{0}; elapsed < duration; elapsed += 500ms) {
-            bench.progressAll(1);
-            bench.advanceTime(500ms);
-        }
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchLeaderTest);
