Wait for ends of runs only as long as the guarantee and the objective allow

Cause: work of priority 0 waited up to 1 s after its acceptance for runs near their end, whatever its objective or the limit for reclaiming a guarantee, and the reservation for that wait lasted 0.7 s longer, before a stop was tried.

Change: the wait ends at the latest start for the objective and, for guaranteed work, at the limit for reclaiming (bounds.reclaim_ms) less a stop and a start; a plan that waits holds its room only until then.

Test failing before: workWithoutSlackDoesNotWaitForEnds.

--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -22,10 +22,6 @@
 /// Value of an accelerator in thousandths of a core, for comparisons of lost work.
 constexpr std::int64_t acceleratorCpuMilli = 8'000;
 
-/// A guaranteed group waits this long for runs that are about to end before it preempts any. The rest of the time limit for reclaiming a
-/// guarantee covers a stop and a start.
-constexpr milliseconds maxGuaranteedWait{1'000};
-
 /// Time that a run with checkpoints loses by a stop, as its checkpoint has to be loaded again.
 constexpr milliseconds restoreCost{500};
 
@@ -64,6 +60,21 @@
     return remainingTimeAtPace(cluster, run);
 }
 
+/// Returns how long \p group may wait for runs that are about to end before others are stopped for it: as long as it can start in time for its
+/// objective, and a guaranteed group no longer than the limit for reclaiming allows, less a stop and a start.
+milliseconds maxWaitForEnds(const ClusterState &cluster, const WaitingGroup &group)
+{
+    Instant until = group.latestStart_;
+    if (group.guaranteed_) {
+        const Job &job = *group.job_;
+        const auto waiting = job.waitingSince_.find(group.group_.first_);
+        const bool isFirstStart = !job.progress_.started_ || waiting == job.waitingSince_.end();
+        const Instant since = isFirstStart ? job.acceptedAt_ : waiting->second;
+        until = std::min(until, since + cluster.limits_.reclaimLimit_ - cluster.limits_.stopLimit_ - stopRoundTrip);
+    }
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(until - cluster.now_));
+}
+
 /// Unit of preemption on one executor: a task, or all members of a gang that run there.
 struct Victim
 {
@@ -322,8 +333,7 @@
     if (group.late_ && !group.guaranteed_) {
         return; // preemption would lose work and the group would miss its objective anyway
     }
-    const auto waited = std::chrono::duration_cast<milliseconds>(cluster.now_ - job.acceptedAt_);
-    const milliseconds horizon = std::max(milliseconds(0), maxGuaranteedWait - waited);
+    const milliseconds horizon = maxWaitForEnds(cluster, group);
     std::vector<Candidate> candidates;
     candidates.reserve(executors.size());
     for (Executor *executor : executors) {
@@ -333,8 +343,9 @@
     if (!plan || (!group.guaranteed_ && plan->lostWork_ > groupWork(cluster, group))) {
         return;
     }
-    const milliseconds wait = plan->victims_.empty() ? std::max(horizon, cluster.limits_.stopLimit_) : cluster.limits_.stopLimit_;
-    reserve(cluster, job, group.group_, {plan->placements_, cluster.now_ + wait + stopRoundTrip});
+    const milliseconds stopTime = cluster.limits_.stopLimit_ + stopRoundTrip;
+    const bool waitsForEnds = plan->victims_.empty() && horizon.count() > 0;
+    reserve(cluster, job, group.group_, {plan->placements_, cluster.now_ + (waitsForEnds ? horizon : stopTime)});
     cluster.logEvent("room-cleared",
                      {{"job", job.submission_.id_.str()},
                       {"victims", std::to_string(plan->victims_.size())},
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -103,7 +103,8 @@
             std::vector<std::size_t> tasks = waitingTasks(job, group);
             if (!tasks.empty() && areDependenciesDone(job, group, groups)) {
                 const Urgency urgency = urgencyOf(cluster, job, group);
-                found.emplace_back(urgency, WaitingGroup{&job, group, std::move(tasks), job.guaranteed_, urgency.late_, urgency.zeroValue_});
+                found.emplace_back(urgency,
+                                   WaitingGroup{&job, group, std::move(tasks), job.guaranteed_, urgency.latestStart_, urgency.late_, urgency.zeroValue_});
             }
         }
     }
--- a/src/core/batch/queueing.h
+++ b/src/core/batch/queueing.h
@@ -14,6 +14,7 @@
     Group group_;
     std::vector<std::size_t> tasks_; ///< indexes into Progress::tasks_; all members of a gang or none
     bool guaranteed_ = false; ///< Job::guaranteed_
+    Instant latestStart_{}; ///< a later start is expected to miss the objective
     bool late_ = false; ///< expected to miss its objective
     bool zeroValue_ = false; ///< expected to end too late to be of any value
 
--- a/tests/unit/batch_guarantee_test.cpp
+++ b/tests/unit/batch_guarantee_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(unguaranteedWorkStopsNoWorkOfItsPriority);
     CPPUNIT_TEST(guaranteedWorkGoesBeforeEarlierWork);
     CPPUNIT_TEST(reservationOfUnguaranteedWorkIsOpenToGuaranteedWork);
+    CPPUNIT_TEST(workWithoutSlackDoesNotWaitForEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +157,18 @@
         bench.advanceTime(300ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("guaranteed").size());
     }
+
+    void workWithoutSlackDoesNotWaitForEnds()
+    {
+        LeaderBench bench(1);
+        bench.submit(makeJob("ending", 1, wholeExecutor, 2s));
+        bench.advanceTime(2s);
+        bench.setPercent(bench.running("ending")[0], 75); // two thirds of a second are left
+        bench.advanceTime(100ms);
+        bench.submit(urgentJob("urgent", 1, wholeExecutor, 100ms)); // may take 300 ms in all
+        bench.advanceTime(300ms);
+        CPPUNIT_ASSERT(bench.wasStopped("ending"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchGuaranteeTest);
