Read and cancel through another entry when the store turns this one away

Change: after each failed try the call goes to another entry, as hand-ins do; an answer counts only if the store served it there (200 or 410), since the other entry's configuration may be older.

Tests failing before: job_service_test (36 reads of the store instead of 1; a cancel that ended in 504).

--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -143,11 +143,11 @@
     case platform::CallMethod::Submit:
         return config.maxBodyBytes_ > 0 && call.body_.size() > config.maxBodyBytes_ ? answerWithStatus(platform::statusTooLarge) : submit(request, call);
     case platform::CallMethod::Cancel:
-        return cancel(request);
+        return cancel(request, call);
     case platform::CallMethod::Read:
         break;
     }
-    return readState(request);
+    return readState(request, call);
 }
 
 std::optional<Answer> JobService::probeStore(const Request &request)
@@ -223,7 +223,7 @@
     return answerWithStatus(platform::statusTimeout);
 }
 
-Answer JobService::cancel(const Request &request)
+Answer JobService::cancel(const Request &request, const platform::Call &call)
 {
     const std::string job = keys::jobs + request.id_;
     do {
@@ -248,12 +248,22 @@
         if (status != 0) {
             return answerWithStatus(status);
         }
+        if (auto elsewhere = askOtherEntry(call)) {
+            return *elsewhere;
+        }
         std::this_thread::sleep_for(retryDelay);
     } while (request.remaining().count() > 0);
     return answerWithStatus(platform::statusTimeout);
 }
 
-Answer JobService::readState(const Request &request)
+std::optional<Answer> JobService::askOtherEntry(const platform::Call &call)
+{
+    auto answer = forwarder_.forward(call);
+    const bool served = answer && (answer->status_ == platform::statusOk || answer->status_ == platform::statusGone);
+    return served ? std::move(answer) : std::nullopt;
+}
+
+Answer JobService::readState(const Request &request, const platform::Call &call)
 {
     do {
         Answer answer = leaf::try_handle_all(
@@ -278,6 +288,9 @@
         if (answer.status_ != 0) {
             return answer;
         }
+        if (auto elsewhere = askOtherEntry(call)) {
+            return *elsewhere;
+        }
         std::this_thread::sleep_for(retryDelay);
     } while (request.remaining().count() > 0);
     return answerWithStatus(platform::statusUnavailable);
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -46,8 +46,12 @@
     [[nodiscard]] platform::Answer serve(const platform::Call &call);
     [[nodiscard]] std::optional<platform::Answer> probeStore(const Request &request);
     [[nodiscard]] platform::Answer submit(const Request &request, const platform::Call &call);
-    [[nodiscard]] platform::Answer cancel(const Request &request);
-    [[nodiscard]] platform::Answer readState(const Request &request);
+    [[nodiscard]] platform::Answer cancel(const Request &request, const platform::Call &call);
+    [[nodiscard]] platform::Answer readState(const Request &request, const platform::Call &call);
+
+    /// Forwards a call about a job that the store did not serve here. Returns the answer if the store served the other entry, otherwise
+    /// nothing: the other entry's configuration may be older, so that what it rejects counts for nothing.
+    [[nodiscard]] std::optional<platform::Answer> askOtherEntry(const platform::Call &call);
     [[nodiscard]] platform::Answer readWaitingCount(const Request &request, const platform::Call &call);
 
     platform::StoreClient &store_;
--- /dev/null
+++ b/tests/process/job_service_test.cpp
@@ -0,0 +1,154 @@
+// Calls to an entry that the store turns away, over loopback, beside an entry that the store serves.
+
+#include "job_service.h"
+
+#include "../../soak/store_stand_in.h"
+#include "clock.h"
+#include "core/batch/codec.h"
+#include "http_status.h"
+#include "keys.h"
+#include "support/expect.h"
+
+#include <thread>
+
+namespace bergamotwick::test {
+
+namespace {
+
+constexpr const char *operatorConfig = R"({"version":1,"routes":[{"name":"usual","host":"h","prefix":"/n/","service":"service","priority":1,)"
+                                       R"("max_attempts":3,"stretch":3,"target_latency_ms":1000,"public":true}],)"
+                                       R"("services":[{"name":"service"}],"tenants":[],"limits":{"max_body_bytes":262144}})";
+
+constexpr const char *jobId = "00000000000000aa";
+
+/// Returns a loopback address whose port was free a moment ago.
+Address freeAddress()
+{
+    const Socket socket = value(listenTcp(*Address::parse("127.0.0.1:0")));
+    return socket.local();
+}
+
+/// An entry that reads the configuration from one store and jobs from another, since a store may serve one call and turn away the next.
+struct Entry
+{
+    Entry(const std::string &name, soak::StoreStandIn &configStore, soak::StoreStandIn &jobStore, node::Forwarder::FindMembers findMembers)
+        : configStore_(configStore)
+        , configClient_(configStore.address())
+        , jobClient_(jobStore.address())
+        , config_(configClient_, [] {})
+        , forwarder_(name, std::move(findMembers))
+        , service_(
+              jobClient_, config_, forwarder_, [](const std::string &) { return std::nullopt; }, metrics_, std::chrono::hours(1))
+        , configThread_([this] { config_.run(); })
+    {
+        while (!service_.ready()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    ~Entry()
+    {
+        config_.stop();
+        configStore_.put("op/config", operatorConfig); // makes the pending watch return
+        configThread_.join();
+    }
+
+    soak::StoreStandIn &configStore_;
+    platform::StoreClient configClient_;
+    platform::StoreClient jobClient_;
+    Metrics metrics_;
+    node::ConfigReplica config_;
+    node::Forwarder forwarder_;
+    node::JobService service_;
+    std::thread configThread_;
+};
+
+}
+
+class JobServiceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(JobServiceTest);
+    CPPUNIT_TEST(stateIsReadThroughAnotherEntry);
+    CPPUNIT_TEST(cancelIsStoredThroughAnotherEntry);
+    CPPUNIT_TEST(missingJobIsReportedThroughAnotherEntry);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    JobServiceTest()
+    {
+        store_.put("op/config", operatorConfig);
+        soak::StoreFaults away;
+        away.down_ = true;
+        awayStore_.setFaults(away);
+    }
+
+    void stateIsReadThroughAnotherEntry()
+    {
+        batch::Progress progress;
+        progress.id_ = JobId(jobId);
+        progress.state_ = batch::JobState::Completed;
+        store_.put(node::keys::progress + jobId, batch::encode(progress));
+        const Pair entries(*this);
+        const platform::Answer answer = entries.cut_->service_.answer(call(platform::CallMethod::Read));
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, answer.status_);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"completed"})"), answer.body_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, awayStore_.requestCount());
+    }
+
+    void cancelIsStoredThroughAnotherEntry()
+    {
+        store_.put(node::keys::jobs + jobId, "job");
+        const Pair entries(*this);
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entries.cut_->service_.answer(call(platform::CallMethod::Cancel)).status_);
+        platform::StoreClient client(store_.address());
+        CPPUNIT_ASSERT(value(client.get(node::keys::cancels + jobId, std::chrono::seconds(2))).has_value());
+    }
+
+    void missingJobIsReportedThroughAnotherEntry()
+    {
+        const Pair entries(*this);
+        CPPUNIT_ASSERT_EQUAL(platform::statusGone, entries.cut_->service_.answer(call(platform::CallMethod::Read)).status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, awayStore_.requestCount());
+    }
+
+private:
+    /// An entry that the store turns away, and one that it serves.
+    struct Pair
+    {
+        explicit Pair(JobServiceTest &test)
+            : listenAddress_(freeAddress())
+        {
+            const Address agentAddress = listenAddress_.withPort(static_cast<std::uint16_t>(listenAddress_.port() - 1));
+            const auto findMembers = [agentAddress] {
+                node::Members members;
+                members.entries_ = {{"served", agentAddress}};
+                return members;
+            };
+            served_ = std::make_unique<Entry>("served", test.store_, test.store_, findMembers);
+            cut_ = std::make_unique<Entry>("cut", test.store_, test.awayStore_, findMembers);
+            listener_ = new node::ForwardListener(listenAddress_, [this](const platform::Call &forwarded) { return served_->service_.answer(forwarded); });
+            CPPUNIT_ASSERT(static_cast<bool>(listener_->start()));
+        }
+
+        Address listenAddress_;
+        std::unique_ptr<Entry> served_;
+        std::unique_ptr<Entry> cut_;
+        node::ForwardListener *listener_ = nullptr; ///< never deleted: its thread runs until the process ends
+    };
+
+    static platform::Call call(platform::CallMethod method)
+    {
+        platform::Call call;
+        call.method_ = method;
+        call.host_ = "h";
+        call.path_ = std::string("/n/") + jobId;
+        return call;
+    }
+
+    soak::StoreStandIn store_{1};
+    soak::StoreStandIn awayStore_{2};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobServiceTest);
+
+}
