Let several commits wait for the store at a time

Change: up to four commits in flight, no two with the same job; four threads write them. A mailbox is closed for good instead of waking one reader, since several threads read it.

Tests failing before: jobDoesNotWaitForTheCommitOfAnother, commitsInFlightAreBounded, failedCommitIsRepeatedBesideOthers (the type itself is new).

--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -75,7 +75,7 @@
 
 bool Leader::isFullyCommitted() const
 {
-    return !inFlight_ && std::none_of(cluster_.jobs_.begin(), cluster_.jobs_.end(), [](const auto &entry) { return entry.second.hasUnstoredChanges(); });
+    return inFlight_.empty() && std::none_of(cluster_.jobs_.begin(), cluster_.jobs_.end(), [](const auto &entry) { return entry.second.hasUnstoredChanges(); });
 }
 
 void Leader::handle(JobStored &&input)
@@ -207,27 +207,28 @@
 
 void Leader::handle(const CommitDone &input)
 {
-    if (!inFlight_ || inFlight_->commit_ != input.commit_) {
+    const auto commit = std::find_if(inFlight_.begin(), inFlight_.end(), [&input](const auto &candidate) { return candidate.commit_ == input.commit_; });
+    if (commit == inFlight_.end()) {
         return;
     }
-    for (const auto &[id, version] : inFlight_->versions_) {
+    for (const auto &[id, version] : commit->versions_) {
         const auto job = cluster_.jobs_.find(id);
         if (job != cluster_.jobs_.end()) {
             job->second.storedVersion_ = version;
             job->second.revision_ = input.revision_;
         }
     }
-    for (const JobId &id : inFlight_->removals_) {
+    for (const JobId &id : commit->removals_) {
         cluster_.jobs_.erase(id);
         std::erase_if(cluster_.advice_, [&id](const auto &entry) { return entry.first.job_ == id; });
     }
-    inFlight_.reset();
+    inFlight_.erase(commit);
     startCommittedRuns();
 }
 
 void Leader::handle(const CommitFailed &input)
 {
-    if (!inFlight_ || inFlight_->commit_ != input.commit_) {
+    if (std::erase_if(inFlight_, [&input](const auto &candidate) { return candidate.commit_ == input.commit_; }) == 0) {
         return;
     }
     for (const auto &[id, revision] : input.foundRevisions_) {
@@ -238,7 +239,6 @@
             job->second.revision_ = revision;
         }
     }
-    inFlight_.reset();
     retryAt_ = input.foundRevisions_.empty() ? cluster_.now_ + commitRetryDelay : cluster_.now_;
 }
 
@@ -300,18 +300,31 @@
     }
 }
 
+std::set<JobId> Leader::jobsInFlight() const
+{
+    std::set<JobId> jobs;
+    for (const InFlightCommit &commit : inFlight_) {
+        for (const auto &[id, version] : commit.versions_) {
+            jobs.insert(id);
+        }
+        jobs.insert(commit.removals_.begin(), commit.removals_.end());
+    }
+    return jobs;
+}
+
 void Leader::commit(std::vector<LeaderOutput> &outputs)
 {
-    if (inFlight_ || cluster_.now_ < retryAt_) {
+    if (inFlight_.size() == maxCommitsInFlight || cluster_.now_ < retryAt_) {
         return;
     }
+    const std::set<JobId> busy = jobsInFlight();
     Commit commit;
     InFlightCommit inFlight;
     for (auto &[id, job] : cluster_.jobs_) {
         if (commit.writes_.size() == maxWritesPerCommit) {
             break;
         }
-        if (!job.hasUnstoredChanges() && !job.removing_) {
+        if ((!job.hasUnstoredChanges() && !job.removing_) || busy.contains(id)) {
             continue;
         }
         if (job.hasUnstoredChanges()) {
@@ -326,7 +339,7 @@
     }
     commit.commit_ = ++lastCommit_;
     inFlight.commit_ = commit.commit_;
-    inFlight_ = std::move(inFlight);
+    inFlight_.push_back(std::move(inFlight));
     outputs.emplace_back(std::move(commit));
 }
 
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -3,6 +3,7 @@
 #include "core/batch/board.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -99,6 +100,9 @@
 /// Number of waiting jobs by Submission::queue_.
 using WaitingJobs = std::map<std::string, std::size_t>;
 
+/// Number of commits that may wait for the store at a time. While the store is slow, changes don't wait for commits of other jobs.
+constexpr std::size_t maxCommitsInFlight = 4;
+
 /// Scheduling logic of the leader. Uses no sockets, threads or clocks of its own.
 ///
 /// Thread safety: none; all calls come from one thread.
@@ -144,6 +148,10 @@
     void sendDirectives(std::vector<LeaderOutput> &outputs);
     [[nodiscard]] Directive directiveFor(const Agent &agent) const;
 
+    /// Returns the jobs that commits in flight write.
+    [[nodiscard]] std::set<JobId> jobsInFlight() const;
+
+    /// A commit that the store hasn't answered yet.
     struct InFlightCommit
     {
         std::uint64_t commit_ = 0;
@@ -153,7 +161,7 @@
 
     ClusterState cluster_;
     std::set<JobId> cancelled_; ///< cancellations received before their job
-    std::optional<InFlightCommit> inFlight_;
+    std::vector<InFlightCommit> inFlight_; ///< at most maxCommitsInFlight; no two write the same job
     std::uint64_t lastCommit_ = 0;
     Instant retryAt_{};
 };
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -92,7 +92,9 @@
     void begin()
     {
         threads_.emplace_back([this] { run(); });
-        threads_.emplace_back([this] { writeCommits(); });
+        for (std::size_t writer = 0; writer < batch::maxCommitsInFlight; ++writer) {
+            threads_.emplace_back([this] { writeCommits(); });
+        }
         // An advice request may take longer than a handover. Its thread keeps the term object alive until it ends.
         std::thread([self = shared_from_this()] { self->processAdviceRequests(); }).detach();
     }
@@ -106,8 +108,8 @@
             std::this_thread::sleep_for(10ms);
         }
         stopping_ = true;
-        inputs_.wake();
-        commits_.wake();
+        inputs_.close();
+        commits_.close();
         for (std::thread &thread : threads_) {
             thread.join();
         }
--- a/src/node/mailbox.h
+++ b/src/node/mailbox.h
@@ -25,12 +25,12 @@
         available_.notify_one();
     }
 
-    /// Waits up to \p wait for values and returns all of them; empty after a timeout or wake().
+    /// Waits up to \p wait for values and returns all of them; empty after a timeout or close(). Several threads may
+    /// consume values this way.
     [[nodiscard]] std::vector<Value> takeAll(Duration wait)
     {
         std::unique_lock lock(mutex_);
-        available_.wait_for(lock, wait, [this] { return !values_.empty() || woken_; });
-        woken_ = false;
+        available_.wait_for(lock, wait, [this] { return !values_.empty() || closed_; });
         return std::exchange(values_, {});
     }
 
@@ -44,12 +44,12 @@
         return value;
     }
 
-    /// Makes a waiting takeAll() return.
-    void wake()
+    /// Makes all waiting and later calls of takeAll() return at once.
+    void close()
     {
         {
             const std::lock_guard lock(mutex_);
-            woken_ = true;
+            closed_ = true;
         }
         available_.notify_all();
     }
@@ -58,7 +58,7 @@
     std::mutex mutex_;
     std::condition_variable available_;
     std::vector<Value> values_;
-    bool woken_ = false;
+    bool closed_ = false;
 };
 
 }
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -112,7 +112,7 @@
     {
         for (batch::LeaderOutput &output : leader_.step(now_, calendar(), std::move(inputs))) {
             if (const auto *commit = std::get_if<batch::Commit>(&output)) {
-                step({batch::CommitDone{commit->commit_, ++revision_}});
+                storeIsSlow_ ? pendingCommits_.push_back(*commit) : step({batch::CommitDone{commit->commit_, ++revision_}});
             } else if (const auto *request = std::get_if<batch::AdviceRequest>(&output)) {
                 adviceRequests_.push_back(*request);
             } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
@@ -229,6 +229,24 @@
         return runs;
     }
 
+    /// Returns the commits that wait for an answer while the store is slow, oldest first.
+    [[nodiscard]] const std::vector<batch::Commit> &pendingCommits() const noexcept
+    {
+        return pendingCommits_;
+    }
+
+    /// Answers the pending commit at \p index: it is stored, or the store did not answer.
+    void answerCommit(std::size_t index, bool stored)
+    {
+        const batch::Commit commit = pendingCommits_.at(index);
+        pendingCommits_.erase(pendingCommits_.begin() + static_cast<std::ptrdiff_t>(index));
+        if (stored) {
+            step({batch::CommitDone{commit.commit_, ++revision_}});
+        } else {
+            step({batch::CommitFailed{commit.commit_, {}}});
+        }
+    }
+
     /// Answers the last request to the placement policy.
     void answerAdviceRequest(const std::map<ExecutorId, std::string> &tickets, milliseconds validFor)
     {
@@ -282,6 +300,7 @@
     }
 
 public:
+    bool storeIsSlow_ = false; ///< commits are answered by answerCommit() only
     std::optional<std::uint32_t> delayedStopIndex_; ///< task index whose runs don't stop while it is set
 
 private:
@@ -293,6 +312,7 @@
     std::set<std::size_t> silent_;
     std::vector<batch::Report> reports_;
     std::vector<RunId> stopped_;
+    std::vector<batch::Commit> pendingCommits_;
     std::vector<batch::AdviceRequest> adviceRequests_;
     std::vector<std::string> tickets_;
     std::int64_t revision_ = 10;
--- /dev/null
+++ b/tests/unit/batch_commit_test.cpp
@@ -0,0 +1,79 @@
+#include "batch/leader_bench.h"
+#include "support/expect.h"
+
+namespace bergamotwick::test {
+
+namespace {
+
+constexpr batch::ResourceVector oneAccelerator{100, 100, 1};
+
+}
+
+/// Tests of the leader's commits while the store takes long to answer.
+class BatchCommitTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchCommitTest);
+    CPPUNIT_TEST(jobDoesNotWaitForTheCommitOfAnother);
+    CPPUNIT_TEST(noJobIsInTwoCommits);
+    CPPUNIT_TEST(commitsInFlightAreBounded);
+    CPPUNIT_TEST(failedCommitIsRepeatedBesideOthers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void jobDoesNotWaitForTheCommitOfAnother()
+    {
+        LeaderBench bench(2);
+        bench.storeIsSlow_ = true;
+        bench.submit(makeJob("first", 1, oneAccelerator, 10s));
+        bench.submit(makeJob("second", 1, oneAccelerator, 10s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.pendingCommits().size());
+        bench.answerCommit(1, true);
+        bench.advanceTime(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("second").size());
+        CPPUNIT_ASSERT(bench.running("first").empty());
+    }
+
+    void noJobIsInTwoCommits()
+    {
+        LeaderBench bench(2);
+        const auto runs = bench.submitAndStart(makeJob("job", 2, oneAccelerator, 10s));
+        bench.storeIsSlow_ = true;
+        bench.endRun(runs[0], batch::EndKind::Done);
+        bench.advanceTime(100ms);
+        bench.endRun(runs[1], batch::EndKind::Done);
+        bench.advanceTime(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.pendingCommits().size());
+        bench.answerCommit(0, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.pendingCommits().size());
+        CPPUNIT_ASSERT(bench.pendingCommits()[0].writes_.at(0).progress_.state_ == batch::JobState::Completed);
+    }
+
+    void commitsInFlightAreBounded()
+    {
+        LeaderBench bench(2);
+        bench.storeIsSlow_ = true;
+        for (std::size_t number = 0; number < 2 * batch::maxCommitsInFlight; ++number) {
+            bench.submit(makeJob("job-" + std::to_string(number), 1, oneAccelerator, 10s));
+        }
+        CPPUNIT_ASSERT_EQUAL(batch::maxCommitsInFlight, bench.pendingCommits().size());
+        bench.answerCommit(0, true);
+        CPPUNIT_ASSERT_EQUAL(batch::maxCommitsInFlight, bench.pendingCommits().size());
+        CPPUNIT_ASSERT_EQUAL(batch::maxCommitsInFlight, bench.pendingCommits().back().writes_.size());
+    }
+
+    void failedCommitIsRepeatedBesideOthers()
+    {
+        LeaderBench bench(2);
+        bench.storeIsSlow_ = true;
+        bench.submit(makeJob("first", 1, oneAccelerator, 10s));
+        bench.submit(makeJob("second", 1, oneAccelerator, 10s));
+        bench.answerCommit(0, false);
+        bench.advanceTime(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.pendingCommits().size());
+        CPPUNIT_ASSERT(bench.pendingCommits().back().writes_.at(0).job_ == JobId("first"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchCommitTest);
+
+}
