--- a/src/core/report/lateness.cpp
+++ b/src/core/report/lateness.cpp
@@ -29,10 +29,12 @@
         + std::chrono::seconds(second) + milliseconds(millisecond);
 }
 
+using Fields = std::map<std::string, std::string, std::less<>>;
+
 /// Returns the key=value pairs of \p line; values may be quoted.
-std::map<std::string, std::string, std::less<>> parseFields(std::string_view line)
+Fields parseFields(std::string_view line)
 {
-    std::map<std::string, std::string, std::less<>> fields;
+    Fields fields;
     std::size_t at = line.find("time=");
     while (at != std::string_view::npos && at < line.size()) {
         const std::size_t equals = line.find('=', at);
@@ -48,14 +50,14 @@
     return fields;
 }
 
-std::string fieldText(const std::map<std::string, std::string, std::less<>> &fields, std::string_view key)
+std::string fieldText(const Fields &fields, std::string_view key)
 {
     const auto found = fields.find(key);
     return found == fields.end() ? std::string() : found->second;
 }
 
 template<class Number>
-Number fieldNumber(const std::map<std::string, std::string, std::less<>> &fields, std::string_view key)
+Number fieldNumber(const Fields &fields, std::string_view key)
 {
     const std::string text = fieldText(fields, key);
     Number number{};
@@ -159,6 +161,20 @@
     return work;
 }
 
+milliseconds LatenessReport::objectiveOf(const JobTimeline &timeline)
+{
+    std::map<std::string, milliseconds> longestByStep; // the tasks of a step run in parallel
+    for (const auto &[task, runs] : timeline.runs_) {
+        milliseconds &step = longestByStep[task.substr(0, task.rfind('.'))];
+        step = std::max(step, executionTime(runs));
+    }
+    milliseconds totalStepTime(0);
+    for (const auto &[step, work] : longestByStep) {
+        totalStepTime += work;
+    }
+    return std::chrono::duration_cast<milliseconds>(totalStepTime * timeline.stretch_) + timeline.target_;
+}
+
 std::map<LossCause, milliseconds> LatenessReport::lostTimeOf(const JobTimeline &timeline)
 {
     const std::map<std::uint32_t, Run> *last = nullptr;
@@ -195,21 +211,12 @@
         if (timeline.completed_ == milliseconds(0) || timeline.runs_.empty()) {
             continue;
         }
-        std::map<std::string, milliseconds> longestByStep; // the tasks of a step run in parallel
-        for (const auto &[task, runs] : timeline.runs_) {
-            milliseconds &step = longestByStep[task.substr(0, task.rfind('.'))];
-            step = std::max(step, executionTime(runs));
-        }
-        milliseconds totalStepTime(0);
-        for (const auto &[step, work] : longestByStep) {
-            totalStepTime += work;
-        }
-        LateJob job{
-            id, timeline.workspace_, timeline.priority_, timeline.completed_ - timeline.accepted_, milliseconds(0), lostTimeOf(timeline), LossCause::Slow};
-        job.objective_ = std::chrono::duration_cast<milliseconds>(totalStepTime * timeline.stretch_) + timeline.target_;
-        if (job.turnaround_ <= job.objective_) {
+        const milliseconds objective = objectiveOf(timeline);
+        const milliseconds turnaround = timeline.completed_ - timeline.accepted_;
+        if (turnaround <= objective) {
             continue;
         }
+        LateJob job{id, timeline.workspace_, timeline.priority_, turnaround, objective, lostTimeOf(timeline), LossCause::Slow};
         const auto largest
             = std::max_element(job.lostTime_.begin(), job.lostTime_.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
         if (largest != job.lostTime_.end() && largest->second >= minReportedLoss) {
--- a/src/core/report/lateness.h
+++ b/src/core/report/lateness.h
@@ -79,6 +79,9 @@
     void addEvent(milliseconds time, const Fields &fields);
     void addRunEvent(milliseconds time, const Fields &fields);
     [[nodiscard]] static milliseconds executionTime(const std::map<std::uint32_t, Run> &runs);
+
+    /// Returns the objective of the job for the measured execution time of its longest tasks.
+    [[nodiscard]] static milliseconds objectiveOf(const JobTimeline &timeline);
     [[nodiscard]] static std::map<LossCause, milliseconds> lostTimeOf(const JobTimeline &timeline);
 
     std::map<std::string, JobTimeline, std::less<>> timelines_;
--- a/tests/unit/batch_guarantee_test.cpp
+++ b/tests/unit/batch_guarantee_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(guaranteedWorkGoesBeforeEarlierWork);
     CPPUNIT_TEST(reservationOfUnguaranteedWorkIsOpenToGuaranteedWork);
     CPPUNIT_TEST(workWithoutSlackDoesNotWaitForEnds);
+    CPPUNIT_TEST(newLeaderKnowsWhatIsGuaranteed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -169,6 +170,21 @@
         bench.advanceTime(300ms);
         CPPUNIT_ASSERT(bench.wasStopped("ending"));
     }
+
+    void newLeaderKnowsWhatIsGuaranteed()
+    {
+        Cluster cluster(4, 1);
+        cluster.submit(urgentJob("inside", 1, wholeExecutor, 30s));
+        cluster.submit(inWorkspace(urgentJob("burst", 5, wholeExecutor, 30s), "guest"));
+        cluster.run(1s);
+        cluster.replaceLeader(300ms, false);
+        cluster.run(2s);
+        cluster.submit(urgentJob("guaranteed", 1, wholeExecutor, 2s));
+        cluster.run(reclaimLimit);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.starts(JobId("guaranteed")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.starts(JobId("inside")));
+        CPPUNIT_ASSERT(cluster.violations().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchGuaranteeTest);
