Log each lost executor with what ran on it; the version in the line at start

Callers saw: one job's task took down executor after executor. The logs couldn't tell the three hypotheses apart: a run that vanished with its executor was settled as stop-confirmed, like one that was stopped. Change: executor-lost names the incarnation, how it was lost (crashed, unreachable), and each run on it with the time from its first to its last listing.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -79,6 +79,7 @@
     bool reported_ = false; ///< its agent has reported to this leader
     bool listed_ = false; ///< its current incarnation has reported its lists to this leader
     bool responsive_ = true; ///< it answers its agent's calls
+    bool lost_ = false; ///< the loss of its current incarnation has been recorded
     Instant lastReport_{};
     Duration listedAt_{}; ///< when its lists were made, on the agent's clock
     Instant lastPermit_{}; ///< when a directive with a permit to extend leases was last sent
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -1,5 +1,6 @@
 #include "core/batch/runs.h"
 
+#include "core/batch/crashes.h"
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
 #include "core/batch/pace.h"
@@ -258,6 +259,29 @@
     });
 }
 
+/// Records that the incarnation of \p executor has ended, unless it announced its end.
+void recordEndOfIncarnation(ClusterState &cluster, Executor &executor)
+{
+    if (!executor.lost_ && !executor.info_.hasLeft_ && !executor.info_.draining_) {
+        recordLoss(cluster, executor, lossOf(cluster, executor, LossKind::Crashed));
+    }
+}
+
+/// Records the loss of the executor if \p report tells of it.
+void recordReportedLoss(ClusterState &cluster, Executor &executor, const Report &report)
+{
+    if (!reportsLoss(report) || executor.lost_ || executor.info_.hasLeft_ || executor.info_.draining_) {
+        return;
+    }
+    std::set<RunId> notStarted(report.starting_.begin(), report.starting_.end());
+    for (const SettledOrder &order : report.settled_) {
+        if (order.outcome_ == OrderOutcome::Refused) {
+            notStarted.insert(order.run_);
+        }
+    }
+    recordLoss(cluster, executor, lossOf(cluster, executor, lossKindOf(executor, report), notStarted));
+}
+
 /// Reassigns runs of earlier incarnations of the executor to the current one. Such a run is only active if a delayed start order reached the
 /// current incarnation before its first fencing token did. The first lists of the current incarnation show which runs are active; the others
 /// are then settled.
@@ -284,6 +308,7 @@
         if (id == current.executor_ || incarnation.host_ != current.host_ || incarnation.startTimeMs_ >= current.startTimeMs_) {
             continue;
         }
+        recordEndOfIncarnation(cluster, executor);
         settleRuns(cluster, executor, "executor-replaced", [](const Run &) { return true; });
     }
 }
@@ -293,6 +318,10 @@
 {
     Executor &executor = cluster.executors_[report.executor_.incarnation_.executor_];
     if (executor.info_.incarnation_ != report.executor_.incarnation_) {
+        if (!executor.info_.incarnation_.executor_.empty()) {
+            recordEndOfIncarnation(cluster, executor);
+        }
+        executor.lost_ = false;
         executor.listed_ = false;
         executor.orphans_.clear();
         executor.pendingEnds_.clear();
@@ -356,6 +385,8 @@
         return;
     }
     settleFormerIncarnationsOnHost(cluster, executor.info_.incarnation_);
+    recordReportedLoss(cluster, executor, report);
+    executor.lost_ = executor.lost_ && !report.responsive_;
     executor.listed_ = true;
     executor.listedAt_ = report.listedAt_;
     executor.orphans_.clear();
@@ -440,6 +471,9 @@
         if (cluster.now_ < lastContact + expiryDelay) {
             continue;
         }
+        if (!executor.lost_) {
+            recordLoss(cluster, executor, lossOf(cluster, executor, LossKind::Unreachable));
+        }
         settleRuns(cluster, executor, "lease-over", [](const Run &) { return true; });
     }
 }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include "bergamotwick/macros.h"
 #include "daemon/log.h"
 
 #include <cstring>
@@ -24,6 +25,6 @@
         logEvent(LogLevel::Error, "settings-unreadable", {});
         return 1;
     }
-    logEvent(LogLevel::Info, "started", {{"role", std::string(argv[1])}, {"node", settings->nodeName_}});
+    logEvent(LogLevel::Info, "started", {{"role", std::string(argv[1])}, {"node", settings->nodeName_}, {"version", BERGAMOTWICK_VERSION}});
     return entry ? node::runEntry(*settings) : node::runAgent(*settings);
 }
