--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -65,6 +65,12 @@
     impl_->behaviours_[job] = {length, fails};
 }
 
+void Cluster::setCrashing(const JobId &job, CrashingTask task)
+{
+    impl_->crashing_[job] = task;
+    impl_->judge_.setCrashing(job);
+}
+
 void Cluster::disconnectAgent(std::size_t host, Duration length)
 {
     impl_->hosts_[host].agentDisconnectedUntil_ = impl_->now_ + length;
@@ -77,11 +83,7 @@
 
 void Cluster::restartAgent(std::size_t host)
 {
-    Impl::Host &target = impl_->hosts_[host];
-    ++target.agentIncarnation_;
-    target.agent_ = std::make_unique<batch::AgentCore>(target.name_, stopDuration);
-    target.connected_ = false;
-    impl_->schedule(impl_->now_ + 200ms, [impl = impl_.get(), host] { impl->connectAgent(host, impl->leaders_.size() - 1); });
+    impl_->restartAgent(host);
 }
 
 void Cluster::restartExecutor(std::size_t host, bool sameName)
@@ -90,6 +92,13 @@
     impl_->startExecutor(host, sameName);
 }
 
+void Cluster::crashExecutor(std::size_t host, Duration downtime)
+{
+    if (!impl_->hosts_[host].executorDown_) {
+        impl_->crashExecutor(host, {.downtime_ = downtime});
+    }
+}
+
 void Cluster::removeExecutor(std::size_t host)
 {
     impl_->judge_.executorDown(impl_->hosts_[host].executor_->info().incarnation_);
@@ -115,13 +124,7 @@
 
 void Cluster::replaceLeader(Duration gap, bool resumes)
 {
-    Impl &impl = *impl_;
-    Impl::LeaderInstance &previousLeader = impl.leaders_.back();
-    previousLeader.stopped_ = !resumes;
-    previousLeader.frozenUntil_ = impl.now_ + gap + 500ms;
-    impl.leaderRevision_ = 0;
-    ++impl.revision_;
-    impl.schedule(impl.now_ + gap, [&impl] { impl.electLeader(); });
+    impl_->replaceLeader(gap, resumes);
 }
 
 void Cluster::evacuate(const std::string &dataCentre)
@@ -156,6 +159,11 @@
     return impl_->judge_.firstStart(job);
 }
 
+std::size_t Cluster::crashes() const noexcept
+{
+    return impl_->crashes_;
+}
+
 std::size_t Cluster::wastedRuns() const noexcept
 {
     return impl_->judge_.wastedRuns_;
--- a/tests/batch/cluster.h
+++ b/tests/batch/cluster.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -21,6 +22,19 @@
     double delayedOrderRate_ = 0; ///< share of orders to executors that time out and are carried out seconds later
 };
 
+/// A task that crashes each executor on which it starts.
+struct CrashingTask
+{
+    std::optional<std::uint32_t> index_ = std::nullopt; ///< in each step and occurrence; all tasks of the job if unset
+    Duration after_{10ms}; ///< from its start to the crash
+    Duration downtime_{3s}; ///< until the host's next executor starts
+    bool sameName_ = false; ///< the next executor has the same name
+    bool silent_ = false; ///< calls to the crashed executor time out instead of being refused
+    bool answersStart_ = true; ///< the executor answers the start before it crashes
+    bool restartsAgent_ = false; ///< the agent restarts together with the executor
+    std::optional<Duration> leaderGap_ = std::nullopt; ///< the leader is killed with each crash and replaced after this time
+};
+
 /// Protections that a negative test disables to show that the checks then fail; true disables one.
 struct DisabledProtections
 {
@@ -49,6 +63,8 @@
     /// Sets the duration and outcome of the tasks of \p job. By default, a task takes its estimated time and succeeds.
     void setTaskBehaviour(const JobId &job, batch::milliseconds length, bool fails);
 
+    void setCrashing(const JobId &job, CrashingTask task);
+
     // Faults
 
     Faults faults_;
@@ -56,6 +72,7 @@
     void disconnectExecutor(std::size_t host, Duration length); ///< from its agent; the executor keeps running
     void restartAgent(std::size_t host);
     void restartExecutor(std::size_t host, bool sameName);
+    void crashExecutor(std::size_t host, Duration downtime); ///< ends its process; the next executor of the host starts after \p downtime
     void removeExecutor(std::size_t host); ///< its address refuses connections until it is restarted
     void drain(std::size_t host, batch::milliseconds remaining);
     void failTasksOn(std::size_t host, Duration length);
@@ -72,6 +89,7 @@
     [[nodiscard]] const std::vector<std::string> &violations() const noexcept; ///< violated guarantees, as text
     [[nodiscard]] std::size_t starts(const JobId &job) const;
     [[nodiscard]] Instant firstStart(const JobId &job) const; ///< of any task; Instant::max() if none has started
+    [[nodiscard]] std::size_t crashes() const noexcept; ///< executors that crashing tasks took down
     [[nodiscard]] std::size_t wastedRuns() const noexcept; ///< runs that didn't end successfully
     [[nodiscard]] Instant now() const noexcept;
     [[nodiscard]] batch::ClusterConfig &config() noexcept;
--- a/tests/batch/cluster_impl.h
+++ b/tests/batch/cluster_impl.h
@@ -52,6 +52,7 @@
         Instant hangingUntil_{};
         bool draining_ = false;
         bool executorDown_ = false;
+        bool silent_ = false; ///< while it is down, calls time out instead of being refused
         milliseconds remaining_{0};
         int executorNameCount_ = 0;
         std::int64_t lastStartTimeMs_ = 0;
@@ -81,6 +82,9 @@
     std::set<JobId> cancels_;
     std::map<JobId, StoredProgress> records_;
     std::map<JobId, TaskBehaviour> behaviours_;
+    std::map<JobId, CrashingTask> crashing_;
+    std::size_t crashes_ = 0; ///< executors that crashing tasks took down
+    std::set<batch::Incarnation> crashScheduled_; ///< executors with a crashing task
     std::int64_t revision_ = 1;
     std::int64_t leaderRevision_ = 0;
     batch::ClusterConfig config_;
@@ -281,8 +285,9 @@
             info,
             now_,
             stopDuration,
-            RunObserver{[this](const auto &incarnation, const auto &run, const auto &checkpoint) {
+            RunObserver{[this, index](const auto &incarnation, const auto &run, const auto &checkpoint) {
                             judge_.began(incarnation, run, checkpoint, now_, executingDelayedOrder_);
+                            scheduleCrash(index, incarnation, run);
                         },
                         [this](const auto &incarnation, const auto &run, batch::EndKind kind) { judge_.ended(incarnation, run, kind); }});
         if (disabledProtections_.fencing_) {
@@ -291,6 +296,60 @@
         schedule(now_ + netLatency, [this, index] { sendHeartbeat(index); });
     }
 
+    /// Schedules the crash of an executor if \p run belongs to a crashing task.
+    void scheduleCrash(std::size_t index, const batch::Incarnation &incarnation, const batch::RunId &run)
+    {
+        const auto found = crashing_.find(run.task_.job_);
+        if (found == crashing_.end() || found->second.index_.value_or(run.task_.index_) != run.task_.index_ || !crashScheduled_.insert(incarnation).second) {
+            return;
+        }
+        schedule(now_ + found->second.after_, [this, index, incarnation, crash = found->second] {
+            if (hosts_[index].executor_->info().incarnation_ == incarnation && !hosts_[index].executorDown_) {
+                ++crashes_;
+                crashExecutor(index, crash);
+            }
+        });
+    }
+
+    void crashExecutor(std::size_t index, const CrashingTask &crash)
+    {
+        Host &host = hosts_[index];
+        judge_.executorCrashed(host.executor_->info().incarnation_);
+        host.executorDown_ = true;
+        host.silent_ = crash.silent_;
+        const auto incarnation = host.executor_->info().incarnation_;
+        schedule(now_ + crash.downtime_, [this, index, incarnation, sameName = crash.sameName_] {
+            if (hosts_[index].executor_->info().incarnation_ == incarnation) {
+                startExecutor(index, sameName);
+            }
+        });
+        if (crash.restartsAgent_) {
+            restartAgent(index);
+        }
+        if (crash.leaderGap_) {
+            replaceLeader(*crash.leaderGap_, false);
+        }
+    }
+
+    void restartAgent(std::size_t index)
+    {
+        Host &host = hosts_[index];
+        ++host.agentIncarnation_;
+        host.agent_ = std::make_unique<batch::AgentCore>(host.name_, stopDuration);
+        host.connected_ = false;
+        schedule(now_ + 200ms, [this, index] { connectAgent(index, leaders_.size() - 1); });
+    }
+
+    void replaceLeader(Duration gap, bool resumes)
+    {
+        LeaderInstance &previous = leaders_.back();
+        previous.stopped_ = !resumes;
+        previous.frozenUntil_ = now_ + gap + 500ms;
+        leaderRevision_ = 0;
+        ++revision_;
+        schedule(now_ + gap, [this] { electLeader(); });
+    }
+
     void sendHeartbeat(std::size_t index)
     {
         Host &host = hosts_[index];
@@ -361,7 +420,7 @@
     {
         const Host &host = hosts_[index];
         if (host.executorDown_) {
-            schedule(now_ + netLatency, [this, index, order, incarnation = host.agentIncarnation_] {
+            schedule(now_ + (host.silent_ ? callTimeout : netLatency), [this, index, order, incarnation = host.agentIncarnation_] {
                 deliverToAgent(index, incarnation, makeAnswer(order, batch::OrderAnswer::Unknown));
             });
             return;
@@ -384,6 +443,12 @@
             return;
         }
         const OrderResult result = executeOrder(index, order);
+        if (isAnswerLost(order)) {
+            schedule(now_ + netLatency, [this, index, order, incarnation = host.agentIncarnation_] {
+                deliverToAgent(index, incarnation, makeAnswer(order, batch::OrderAnswer::Unknown));
+            });
+            return;
+        }
         const auto reply = result == OrderResult::Accepted ? batch::OrderAnswer::Accepted : batch::OrderAnswer::Refused;
         schedule(now_ + netLatency,
                  [this, index, order, reply, incarnation = host.agentIncarnation_] { deliverToAgent(index, incarnation, makeAnswer(order, reply)); });
@@ -396,6 +461,17 @@
         }
     }
 
+    [[nodiscard]] bool isAnswerLost(const batch::CallStart &order) const
+    {
+        const auto found = crashing_.find(order.order_.run_.task_.job_);
+        return found != crashing_.end() && !found->second.answersStart_;
+    }
+
+    [[nodiscard]] static bool isAnswerLost(const batch::CallStop &)
+    {
+        return false;
+    }
+
     static batch::AgentInput makeAnswer(const batch::CallStart &call, batch::OrderAnswer answer)
     {
         return batch::StartAnswered{call.order_.run_, answer, ""};
@@ -427,7 +503,7 @@
     {
         Host &host = hosts_[index];
         if (host.executorDown_) {
-            stepAgent(index, {batch::PollFailed{true}});
+            stepAgent(index, {batch::PollFailed{!host.silent_}});
             return;
         }
         host.executor_->advance(now_);
@@ -442,7 +518,7 @@
     {
         Host &host = hosts_[index];
         if (host.executorDown_ || host.executorDisconnectedUntil_ > now_) {
-            stepAgent(index, {batch::PollFailed{host.executorDown_}});
+            stepAgent(index, {batch::PollFailed{host.executorDown_ && !host.silent_}});
             return;
         }
         auto beforeAcknowledgement = host.executor_->poll({call.incarnation_, call.fencingToken_, 0, std::nullopt, milliseconds(0)}, now_);
--- a/tests/batch/judge.cpp
+++ b/tests/batch/judge.cpp
@@ -1,5 +1,7 @@
 #include "batch/judge.h"
 
+#include <algorithm>
+
 namespace bergamotwick::test {
 
 using batch::EndKind;
@@ -8,6 +10,10 @@
 
 constexpr auto cancelGracePeriod = 3s;
 
+/// A crashing task must not be started forbiddenStarts times more after this many executors have crashed under it.
+constexpr std::uint32_t maxCrashes = 3;
+constexpr std::uint32_t forbiddenStarts = 3;
+
 }
 
 void Judge::addViolation(const std::string &rule, const batch::RunId &run, const batch::Incarnation &incarnation)
@@ -37,6 +43,19 @@
     running_.erase(incarnation);
 }
 
+void Judge::executorCrashed(const batch::Incarnation &incarnation)
+{
+    for (const batch::RunId &run : running_[incarnation]) {
+        ++crashes_[run.task_];
+    }
+    executorDown(incarnation);
+}
+
+void Judge::setCrashing(const JobId &job)
+{
+    crashingJobs_.insert(job);
+}
+
 bool Judge::isDone(const SubmittedJob &job, std::uint32_t occurrence, std::uint32_t step) const
 {
     const batch::Step &jobStep = job.submission_.steps_[step];
@@ -66,6 +85,9 @@
             }
         }
     }
+    if (crashingJobs_.contains(task.job_) && crashes_[task] >= maxCrashes && ++startsAfterCrashes_[task] >= forbiddenStarts) {
+        addViolation("BUDGET of crashes", run, incarnation);
+    }
     if (acknowledgedCompletions_.contains(task)) {
         addViolation("TWICE after its acknowledged end", run, incarnation);
     }
@@ -119,6 +141,13 @@
 
 void Judge::stored(const batch::Progress &progress)
 {
+    if (progress.state_ == batch::JobState::Failed && !crashingJobs_.contains(progress.id_)) {
+        const auto maxAttempts = static_cast<std::size_t>(jobs_.at(progress.id_).maxAttempts_);
+        const auto &tasks = progress.tasks_;
+        if (std::none_of(tasks.begin(), tasks.end(), [maxAttempts](const auto &task) { return task.failedRuns_.size() >= maxAttempts; })) {
+            violations_.push_back("LOST: " + progress.id_.str() + " is stored as failed although it could be done");
+        }
+    }
     if (progress.state_ != batch::JobState::Completed) {
         return;
     }
--- a/tests/batch/judge.h
+++ b/tests/batch/judge.h
@@ -19,6 +19,12 @@
     void cancelled(const JobId &job, Instant now);
     void executorUp(const batch::ExecutorInfo &info);
     void executorDown(const batch::Incarnation &incarnation);
+
+    /// The executor crashed with all that runs on it.
+    void executorCrashed(const batch::Incarnation &incarnation);
+
+    /// Some or all tasks of \p job crash each executor on which they start: it may be given up.
+    void setCrashing(const JobId &job);
     void began(const batch::Incarnation &incarnation, const batch::RunId &run, const std::string &checkpoint, Instant now, bool delayedOrder);
     void ended(const batch::Incarnation &incarnation, const batch::RunId &run, batch::EndKind kind);
     void acknowledged(const batch::EndedRun &end);
@@ -53,6 +59,9 @@
     std::set<batch::TaskId> completedTasks_;
     std::set<batch::TaskId> acknowledgedCompletions_;
     std::map<batch::TaskId, std::int32_t> acknowledgedFailures_;
+    std::set<JobId> crashingJobs_;
+    std::map<batch::TaskId, std::uint32_t> crashes_; ///< executors that crashed while the task ran on them
+    std::map<batch::TaskId, std::uint32_t> startsAfterCrashes_; ///< starts of a task after its crashes reached maxCrashes
     std::vector<std::string> violations_;
 };
 
--- /dev/null
+++ b/tests/unit/batch_crash_test.cpp
@@ -0,0 +1,184 @@
+#include "batch/cluster.h"
+#include "support/expect.h"
+
+namespace bergamotwick::test {
+
+namespace {
+
+constexpr std::size_t hostCount = 6;
+constexpr std::size_t maxCrashesOfOneTask = 4;
+const JobId crashingJob("crashing");
+
+/// A cluster with sound jobs of all priorities and one job whose tasks crash their executors.
+class CrashScenario
+{
+public:
+    explicit CrashScenario(CrashingTask task, batch::Submission job = makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 4s), std::uint64_t seed = 1)
+        : cluster_(hostCount, seed)
+    {
+        for (int number = 0; number < 6; ++number) {
+            soundJobs_.emplace_back("sound-" + std::to_string(number));
+            batch::Submission sound = makeJob(soundJobs_.back().str(), 4, {4'000, 9'000, 2}, 3s);
+            sound.queue_ = "h/" + std::to_string(number % 3) + "/";
+            cluster_.submit(sound);
+        }
+        cluster_.run(1s);
+        cluster_.setCrashing(crashingJob, task);
+        cluster_.submit(std::move(job));
+    }
+
+    /// Expects that the crashing job is given up after at most \p maxCrashes executors, that all sound jobs complete, and that no guarantee is
+    /// violated.
+    void expectGivenUp(std::size_t maxCrashes)
+    {
+        cluster_.run(60s);
+        for (const std::string &violation : cluster_.violations()) {
+            CPPUNIT_FAIL(violation);
+        }
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(batch::JobState::Failed), static_cast<int>(cluster_.state(crashingJob)));
+        CPPUNIT_ASSERT_MESSAGE("executors lost: " + std::to_string(cluster_.crashes()), cluster_.crashes() <= maxCrashes);
+        CPPUNIT_ASSERT_MESSAGE("given up before two executors have crashed", cluster_.crashes() >= 2);
+        for (const JobId &job : soundJobs_) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(job.str(), static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster_.state(job)));
+        }
+    }
+
+    Cluster cluster_;
+
+private:
+    std::vector<JobId> soundJobs_;
+};
+
+}
+
+/// Tasks that crash each executor on which they start, and sound tasks on executors that crash.
+class BatchCrashTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchCrashTest);
+    CPPUNIT_TEST(crashingTaskIsGivenUp);
+    CPPUNIT_TEST(crashWithLostStartAnswerIsCounted);
+    CPPUNIT_TEST(crashCountSurvivesLeaderKilledBeforeReport);
+    CPPUNIT_TEST(crashCountSurvivesRestartOfAllEntries);
+    CPPUNIT_TEST(crashCountSurvivesLostStoreAnswers);
+    CPPUNIT_TEST(crashCountSurvivesAgentRestart);
+    CPPUNIT_TEST(crashShownByNextIncarnationIsCounted);
+    CPPUNIT_TEST(crashShownByNextIncarnationOfSameNameIsCounted);
+    CPPUNIT_TEST(crashingGangMemberIsGivenUp);
+    CPPUNIT_TEST(stepOfCrashingTasksSparesExecutors);
+    CPPUNIT_TEST(crashingLongRunningTaskIsGivenUp);
+    CPPUNIT_TEST(crashingBackfillTaskIsGivenUp);
+    CPPUNIT_TEST(repeatedCrashingJobIsGivenUp);
+    CPPUNIT_TEST(taskThatCrashesLateIsGivenUp);
+    CPPUNIT_TEST(soundTasksOutlastCrashingExecutors);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void crashingTaskIsGivenUp()
+    {
+        CrashScenario({}).expectGivenUp(2);
+    }
+
+    void crashWithLostStartAnswerIsCounted()
+    {
+        CrashScenario({.answersStart_ = false}).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void crashCountSurvivesLeaderKilledBeforeReport()
+    {
+        CrashScenario({.leaderGap_ = 300ms}).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void crashCountSurvivesRestartOfAllEntries()
+    {
+        CrashScenario({.leaderGap_ = 4s}).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void crashCountSurvivesLostStoreAnswers()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            CrashScenario scenario({.leaderGap_ = 500ms}, makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 4s), seed);
+            scenario.cluster_.faults_.lostReplyRate_ = 0.3;
+            scenario.cluster_.faults_.delayedWriteRate_ = 0.1;
+            scenario.expectGivenUp(maxCrashesOfOneTask);
+        }
+    }
+
+    void crashCountSurvivesAgentRestart()
+    {
+        CrashScenario({.restartsAgent_ = true}).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void crashShownByNextIncarnationIsCounted()
+    {
+        CrashScenario({.silent_ = true}).expectGivenUp(maxCrashesOfOneTask);
+        CrashScenario({.downtime_ = 12s, .silent_ = true}).expectGivenUp(maxCrashesOfOneTask + 1);
+    }
+
+    void crashShownByNextIncarnationOfSameNameIsCounted()
+    {
+        CrashScenario({.downtime_ = 200ms, .sameName_ = true}).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void crashingGangMemberIsGivenUp()
+    {
+        CrashScenario({.index_ = 1}, makeGang(crashingJob.str(), 3, {4'000, 9'000, 4}, 4s)).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void stepOfCrashingTasksSparesExecutors()
+    {
+        CrashScenario({}, makeJob(crashingJob.str(), 40, {4'000, 9'000, 2}, 4s)).expectGivenUp(hostCount + 2);
+    }
+
+    void crashingLongRunningTaskIsGivenUp()
+    {
+        batch::Submission job = makeJob(crashingJob.str(), 2, {4'000, 9'000, 2}, 4s);
+        job.steps_[0].longRunning_ = true;
+        CrashScenario({.index_ = 0}, job).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void crashingBackfillTaskIsGivenUp()
+    {
+        batch::Submission job = makeJob(crashingJob.str(), 2, {4'000, 9'000, 0}, 4s);
+        job.steps_[0].cpuBackfill_ = true;
+        CrashScenario({.index_ = 0}, job).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void repeatedCrashingJobIsGivenUp()
+    {
+        batch::Submission job = makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 500ms);
+        job.repeats_ = 5;
+        job.interval_ = 500ms;
+        CrashScenario({}, job).expectGivenUp(hostCount + 2);
+    }
+
+    void taskThatCrashesLateIsGivenUp()
+    {
+        CrashScenario({.after_ = 3s}, makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 8s)).expectGivenUp(maxCrashesOfOneTask);
+    }
+
+    void soundTasksOutlastCrashingExecutors()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster(hostCount, seed);
+            for (int number = 0; number < 12; ++number) {
+                cluster.submit(makeJob("sound-" + std::to_string(number), 4, {4'000, 9'000, 2}, 3s));
+            }
+            for (std::size_t crash = 0; crash < 12; ++crash) {
+                cluster.run(700ms);
+                cluster.crashExecutor((crash * seed + crash / 4) % hostCount, 1s);
+            }
+            cluster.run(60s);
+            for (const std::string &violation : cluster.violations()) {
+                CPPUNIT_FAIL(violation);
+            }
+            for (int number = 0; number < 12; ++number) {
+                const JobId job("sound-" + std::to_string(number));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(job.str(), static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster.state(job)));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchCrashTest);
+
+}
