Report a start whose answer was lost with the executor as ended, not as refused

Callers saw nothing of it by itself; it hid crashes. Cause: an agent that had no answer to a start and then met a refused connection, or two refused polls, reported the start as never carried out. The call without an answer may have been carried out, and the executor may have crashed by it. Change: such an order stays open until the polls show that the executor is gone, and is then reported as certain to have ended. The message is as before, so agents and leaders of both releases understand each other. A start whose first call is refused is still reported as refused. Test: startThatMayHaveCrashedItsExecutorIsNotReportedAsRefused; it fails without the change (outcome refused).

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -189,7 +189,9 @@
         return; // no longer awaited, for example because a stop order overtook the answer
     }
     Order &order = found->second;
-    if (answer.answer_ == OrderAnswer::Unknown) {
+    // An earlier call without an answer may have been carried out, and the executor may have crashed by it.
+    const bool mayHaveStarted = answer.connectionRefused_ && order.attempts_ > 1;
+    if (answer.answer_ == OrderAnswer::Unknown || mayHaveStarted) {
         incarnationConfirmed_ = false;
         log("start-unanswered", {{"run", toString(answer.run_)}, {"tries", std::to_string(order.attempts_)}, {"reason", answer.reason_}});
         if (order.attempts_ < maxStartAttempts) {
@@ -340,8 +342,8 @@
     running_.clear();
     ended_.clear();
     for (auto &[run, order] : orders_) {
-        const bool neverRan = order.phase_ == OrderPhase::Starting || order.phase_ == OrderPhase::Refused;
-        order.phase_ = neverRan ? OrderPhase::Refused : OrderPhase::StopConfirmed;
+        // A start that wasn't answered may have been carried out before.
+        order.phase_ = order.phase_ == OrderPhase::Refused ? OrderPhase::Refused : OrderPhase::StopConfirmed;
         order.phaseSince_ = now_;
     }
     reportDue_ = true;
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -56,6 +56,7 @@
     RunId run_;
     OrderAnswer answer_ = OrderAnswer::Unknown;
     std::string reason_;
+    bool connectionRefused_ = false; ///< the executor's process isn't running
 };
 
 /// A connection to a leader was established; no report has been sent over it yet.
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -183,7 +183,7 @@
             std::visit(Overloaded{
                            [&](const batch::CallStart &start) {
                                const auto result = client.start(start.incarnation_, start.order_, start.leaseEnd_, start.fencingToken_);
-                               inputs_.put(batch::StartAnswered{start.order_.run_, result.answer_, result.reason_});
+                               inputs_.put(batch::StartAnswered{start.order_.run_, result.answer_, result.reason_, result.connectionRefused_});
                            },
                            [&](const batch::CallStop &stop) {
                                inputs_.put(batch::StopAnswered{stop.run_, client.stop(stop.incarnation_, stop.run_, stop.fencingToken_).answer_});
--- a/tests/unit/batch_agent_test.cpp
+++ b/tests/unit/batch_agent_test.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(newIncarnationIsPolledWithoutAWait);
     CPPUNIT_TEST(listsOfAnOvertakenPollAreIgnored);
     CPPUNIT_TEST(newConnectionTriggersAReport);
+    CPPUNIT_TEST(startThatMayHaveCrashedItsExecutorIsNotReportedAsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -215,6 +216,26 @@
         (void)bench.step({delayedAnswer});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.report().running_.size());
     }
+
+    void startThatMayHaveCrashedItsExecutorIsNotReportedAsRefused()
+    {
+        for (const bool retriedBeforeLoss : {true, false}) {
+            AgentBench bench;
+            batch::Directive directive = bench.directive();
+            directive.starts_ = {{run, "", "", ""}};
+            (void)bench.step({directive});
+            (void)bench.step({batch::StartAnswered{run, batch::OrderAnswer::Unknown, "", false}});
+            bench.advance(250ms);
+            if (retriedBeforeLoss) {
+                (void)bench.step({});
+                (void)bench.step({batch::StartAnswered{run, batch::OrderAnswer::Refused, "", true}});
+            }
+            (void)bench.step({batch::PollFailed{true}, batch::PollFailed{true}});
+            const batch::Report report = bench.report();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.settled_.size());
+            CPPUNIT_ASSERT(report.settled_.front().outcome_ == batch::OrderOutcome::StopConfirmed);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchAgentTest);
