Give a former incarnation no more work once the next one has reported

Found while the crash counts were built: a run whose executor had been replaced under another name was assigned to the former incarnation again, as its last report was younger than the report timeout. It ended 0.6 s later as lost once more, and would have counted as a crash of which nothing ran. Change: the former incarnation counts as not listed. Test: formerIncarnationGetsNoWork, which fails without the change (1 start after 0.5 s).

--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -309,6 +309,7 @@
             continue;
         }
         recordEndOfIncarnation(cluster, executor);
+        executor.listed_ = false; // it gets no more work
         settleRuns(cluster, executor, "executor-replaced", [](const Run &) { return true; });
     }
 }
--- a/tests/unit/batch_cluster_test.cpp
+++ b/tests/unit/batch_cluster_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(longPartitionRerunsTaskOnlyAfterLeaseExpiry);
     CPPUNIT_TEST(restartedAgentRecoversItsTasks);
     CPPUNIT_TEST(executorUnderNewNameSettlesFormerIncarnation);
+    CPPUNIT_TEST(formerIncarnationGetsNoWork);
     CPPUNIT_TEST(tasksOfRemovedExecutorRunElsewhere);
     CPPUNIT_TEST(removedExecutorGetsNoWork);
     CPPUNIT_TEST(delayedOrdersCauseNoDuplicateRun);
@@ -221,6 +222,16 @@
         expectNoViolation(cluster);
     }
 
+    void formerIncarnationGetsNoWork()
+    {
+        Cluster cluster(1, 1);
+        cluster.submit(makeJob("first", 1, wholeExecutor, 3s));
+        cluster.run(1s);
+        cluster.restartExecutor(0, false);
+        cluster.run(500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cluster.starts(firstJob));
+    }
+
     void tasksOfRemovedExecutorRunElsewhere()
     {
         Cluster cluster(2, 1);
