Withdraw starts that an executor's shrunk capacity no longer holds

What could be seen: an executor that doesn't guard its capacity is brought over it. Cause: the leader checked room only when it assigned a run; while its commit waited for the store, for seconds in an outage, the executor's capacity could shrink, and the start was ordered all the same. The agent told of a smaller capacity with its next periodic report only, and repeated unanswered starts. Class: a decision that is carried out after what it rests on has changed. Change: with each report, runs that no longer fit and whose start the agent doesn't know yet are withdrawn and placed again; an agent reports a change of capacity at once and stops unanswered starts when it shrinks. No message changes.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -158,6 +158,23 @@
     outputs_.emplace_back(CallStart{order.incarnation_, order.start_, *end, fencingToken()});
 }
 
+/// Stops the starts that haven't been answered, instead of repeating them: they were ordered for a capacity that has shrunk.
+void AgentCore::stopPendingStarts()
+{
+    std::vector<RunId> waiting;
+    for (auto &[run, order] : orders_) {
+        if (order.phase_ == OrderPhase::Starting) {
+            order.attempts_ = maxStartAttempts;
+        }
+        if (order.phase_ == OrderPhase::Starting && order.retryAt_) {
+            waiting.push_back(run);
+        }
+    }
+    for (const RunId &run : waiting) {
+        beginStop(run);
+    }
+}
+
 void AgentCore::beginStop(const RunId &run)
 {
     Order &order = orders_[run];
@@ -240,8 +257,11 @@
         orders_.clear();
         lastLeaseEnd_ = now_ + withSlowClockAllowance(leaseDuration); // a previous process of this agent may just have granted a lease
     }
-    const bool infoChanged = !sameIncarnation || heartbeat.executor_.draining_ != executor_.draining_;
+    const bool infoChanged = !sameIncarnation || heartbeat.executor_.draining_ != executor_.draining_ || heartbeat.executor_.capacity_ != executor_.capacity_;
     reportDue_ = reportDue_ || infoChanged;
+    if (sameIncarnation && !heartbeat.executor_.capacity_.covers(executor_.capacity_)) {
+        stopPendingStarts();
+    }
     heartbeatSequence_ = heartbeat.sequence_;
     const bool hasLeft = sameIncarnation && executor_.hasLeft_;
     executor_ = heartbeat.executor_;
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -147,6 +147,7 @@
     void handle(const StartAnswered &answer);
     void handle(const StopAnswered &answer);
 
+    void stopPendingStarts();
     void beginStart(const StartOrder &start);
     void beginStop(const RunId &run);
     void callStart(const RunId &run, Order &order);
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -1,5 +1,6 @@
 #include "core/batch/runs.h"
 
+#include "core/batch/capacity.h"
 #include "core/batch/crashes.h"
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
@@ -411,6 +412,7 @@
         applySettledOrder(cluster, executor, order);
     }
     settleMissingRuns(cluster, executor, report);
+    withdrawUnstartedRuns(cluster, executor, report);
 }
 
 void stopRun(ClusterState &cluster, const RunId &id, const char *reason)
--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -106,6 +106,13 @@
     impl_->hosts_[host].executorDown_ = true;
 }
 
+void Cluster::setCapacity(std::size_t host, batch::ResourceVector capacity)
+{
+    ExecutorStandIn &executor = *impl_->hosts_[host].executor_;
+    executor.setCapacity(capacity);
+    impl_->judge_.capacityChanged(executor.info().incarnation_, capacity, impl_->now_);
+}
+
 void Cluster::drain(std::size_t host, milliseconds remaining)
 {
     impl_->hosts_[host].draining_ = true;
--- a/tests/batch/cluster.h
+++ b/tests/batch/cluster.h
@@ -75,6 +75,7 @@
     void restartExecutor(std::size_t host, bool sameName);
     void crashExecutor(std::size_t host, Duration downtime); ///< ends its process; the next executor of the host starts after \p downtime
     void removeExecutor(std::size_t host); ///< its address refuses connections until it is restarted
+    void setCapacity(std::size_t host, batch::ResourceVector capacity); ///< of its present executor, from its next heartbeat on
     void drain(std::size_t host, batch::milliseconds remaining);
     void failTasksOn(std::size_t host, Duration length);
     void hangTasksOn(std::size_t host, Duration length);
--- a/tests/batch/executor_stand_in.h
+++ b/tests/batch/executor_stand_in.h
@@ -48,6 +48,11 @@
         return info_;
     }
 
+    void setCapacity(const batch::ResourceVector &capacity) noexcept
+    {
+        info_.capacity_ = capacity;
+    }
+
     [[nodiscard]] batch::ExecutorTime clock(Instant now) const;
 
     /// Makes the executor accept lower fencing tokens, for negative tests.
--- a/tests/batch/judge.h
+++ b/tests/batch/judge.h
@@ -20,6 +20,9 @@
     void executorUp(const batch::ExecutorInfo &info);
     void executorDown(const batch::Incarnation &incarnation);
 
+    /// The executor said at \p now that its capacity is \p capacity. A smaller one counts a grace period later.
+    void capacityChanged(const batch::Incarnation &incarnation, const batch::ResourceVector &capacity, Instant now);
+
     /// The executor crashed with all that runs on it.
     void executorCrashed(const batch::Incarnation &incarnation);
 
@@ -54,7 +57,15 @@
     [[nodiscard]] bool isDone(const SubmittedJob &job, std::uint32_t occurrence, std::uint32_t step) const;
 
     std::map<JobId, SubmittedJob> jobs_;
+    /// Former capacity of an executor that may still be used until graceEnd_.
+    struct FormerCapacity
+    {
+        batch::ResourceVector capacity_;
+        Instant graceEnd_{};
+    };
+
     std::map<batch::Incarnation, batch::ExecutorInfo> executors_;
+    std::map<batch::Incarnation, FormerCapacity> formerCapacities_;
     std::map<batch::Incarnation, std::set<batch::RunId>> running_;
     std::set<batch::TaskId> completedTasks_;
     std::set<batch::TaskId> acknowledgedCompletions_;
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -143,6 +143,12 @@
         reports_[executor].executor_.labels_ = {"kind", rack};
     }
 
+    /// Sets the capacity that \p executor reports from now on.
+    void setCapacity(std::size_t executor, batch::ResourceVector capacity)
+    {
+        reports_[executor].executor_.capacity_ = capacity;
+    }
+
     /// Stops the reports of \p executor, or resumes them if \p silent is false.
     void setSilent(std::size_t executor, bool silent)
     {
--- a/tests/unit/batch_agent_test.cpp
+++ b/tests/unit/batch_agent_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(listsOfAnOvertakenPollAreIgnored);
     CPPUNIT_TEST(newConnectionTriggersAReport);
     CPPUNIT_TEST(startThatMayHaveCrashedItsExecutorIsNotReportedAsRefused);
+    CPPUNIT_TEST(pendingStartIsStoppedWhenCapacityShrinks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -236,6 +237,22 @@
             CPPUNIT_ASSERT(report.settled_.front().outcome_ == batch::OrderOutcome::StopConfirmed);
         }
     }
+
+    void pendingStartIsStoppedWhenCapacityShrinks()
+    {
+        AgentBench bench;
+        batch::Directive directive = bench.directive();
+        directive.starts_ = {{run, "", "", ""}};
+        (void)bench.step({directive});
+        (void)bench.step({batch::StartAnswered{run, batch::OrderAnswer::Unknown, "", false}});
+        batch::HeartbeatReceived heartbeat;
+        heartbeat.executor_.incarnation_ = {ExecutorId("x"), 5'000, ""};
+        heartbeat.executor_.capacity_ = {-1, 0, 0};
+        heartbeat.sequence_ = 2;
+        const auto outputs = bench.step({heartbeat});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStop>(outputs));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::Report>(outputs));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchAgentTest);
