Don't hold a large job's tasks back for good; drop suspicions after a common loss

Cause of the first: the number of suspects that may start at a time was doubled with each that survived, without a bound; after 64 it was zero. Cause of the second: with all executors lost at once and a new leader, every task was a suspect, and all work was started again one by one. Now, when executors on four hosts or more, and a quarter of all, crash within a second, and no job is suspected of half of them, their suspicions are dropped: it is a common cause. The counts stay, so that tasks which do take down so many executors at once are still given up in the end.

--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -29,6 +29,10 @@
 /// Executors that crash within this time of each other may have a common cause. All of them are noticed within it.
 constexpr milliseconds commonCauseWindow{1'000};
 
+/// Executors on at least this many hosts, and at least one executor in this many, are lost together if they have a common cause.
+constexpr std::size_t minHostsOfCommonCause = 4;
+constexpr std::size_t executorsPerCommonLoss = 4;
+
 /// How long crashes count for the rate at which executors crash.
 constexpr milliseconds crashRatePeriod{30'000};
 
@@ -143,6 +147,52 @@
     return first * std::pow(similar, std::max(1U, crashes.crashes_) - 1);
 }
 
+/// Returns whether one job is suspected of at least half of \p crashes.
+bool hasMainSuspect(const std::vector<ObservedCrash *> &crashes)
+{
+    std::map<JobId, std::size_t> suspicions;
+    for (const ObservedCrash *crash : crashes) {
+        for (const JobId &job : crash->suspects_) {
+            ++suspicions[job];
+        }
+    }
+    return std::any_of(suspicions.begin(), suspicions.end(), [&crashes](const auto &entry) { return 2 * entry.second >= crashes.size(); });
+}
+
+/// Drops the suspicions of tasks that lost their first executor on one of \p hosts.
+void dropFirstSuspicions(ClusterState &cluster, const std::set<std::string> &hosts)
+{
+    for (const JobId &id : cluster.jobsWithCrashes_) {
+        for (auto &[index, crashes] : cluster.jobs_.at(id).crashes_) {
+            if (crashes.crashes_ == 1 && hosts.contains(crashes.lastLost_.host_)) {
+                crashes.suspected_ = 0;
+            }
+        }
+    }
+}
+
+/// Drops the suspicions of executors that were lost together if they are so many, and ran so different jobs, that a task is unlikely to be the
+/// cause: a data centre or all hosts lost their power.
+void dismissCommonCause(ClusterState &cluster)
+{
+    std::vector<ObservedCrash *> together;
+    std::set<std::string> hosts;
+    for (ObservedCrash &crash : cluster.recentCrashes_) {
+        if (crash.noticedAt_ + commonCauseWindow > cluster.now_) {
+            together.push_back(&crash);
+            hosts.insert(crash.host_);
+        }
+    }
+    const bool many = hosts.size() >= minHostsOfCommonCause && hosts.size() * executorsPerCommonLoss >= cluster.agents_.size();
+    if (!many || hasMainSuspect(together)) {
+        return;
+    }
+    for (ObservedCrash *crash : together) {
+        crash->suspects_.clear();
+    }
+    dropFirstSuspicions(cluster, hosts);
+}
+
 void forget(ClusterState &cluster, Job &job, std::size_t index)
 {
     job.crashes_.erase(index);
@@ -286,6 +336,7 @@
 void decideOnSuspects(ClusterState &cluster)
 {
     std::erase_if(cluster.recentCrashes_, [&cluster](const ObservedCrash &crash) { return cluster.now_ - crash.noticedAt_ > crashRatePeriod; });
+    dismissCommonCause(cluster);
     const std::set<JobId> jobs = cluster.jobsWithCrashes_;
     for (const JobId &id : jobs) {
         Job &job = cluster.jobs_.at(id);
@@ -315,7 +366,7 @@
     }
     if (run.isolated_) {
         run.isolated_ = false;
-        job.isolatedStarts_ *= 2;
+        job.isolatedStarts_ = std::min(2 * job.isolatedStarts_, job.progress_.tasks_.size());
         cluster.logEvent("task-cleared", {{"run", toString(run.id_)}, {"executor", executor.info_.incarnation_.executor_.str()}});
     }
     if (crashes == job.crashes_.end() || !crashes->second.lastResolved_) {
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -70,6 +70,8 @@
     CPPUNIT_TEST(repeatedCrashingJobIsGivenUp);
     CPPUNIT_TEST(taskThatCrashesLateIsGivenUp);
     CPPUNIT_TEST(soundTasksOutlastCrashingExecutors);
+    CPPUNIT_TEST(largeJobOutlastsLossOfAllExecutors);
+    CPPUNIT_TEST(lossOfAllExecutorsMakesNoTaskWaitForIsolation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +181,38 @@
             }
         }
     }
+
+    void largeJobOutlastsLossOfAllExecutors()
+    {
+        Cluster cluster(hostCount, 1);
+        cluster.submit(makeJob("large", 150, {2'500, 1'000, 0}, 8s));
+        cluster.run(1s);
+        cluster.replaceLeader(500ms, false);
+        for (std::size_t host = 0; host < hostCount; ++host) {
+            cluster.crashExecutor(host, host < hostCount / 2 ? 1s : 40s);
+        }
+        cluster.run(90s);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster.state(JobId("large"))));
+    }
+
+    void lossOfAllExecutorsMakesNoTaskWaitForIsolation()
+    {
+        Cluster cluster(hostCount, 1);
+        for (int number = 0; number < 6; ++number) {
+            cluster.submit(makeJob("job-" + std::to_string(number), 8, {4'000, 9'000, 1}, 5s));
+        }
+        cluster.run(1s);
+        cluster.replaceLeader(500ms, false);
+        for (std::size_t host = 0; host < hostCount; ++host) {
+            cluster.crashExecutor(host, 1s);
+        }
+        cluster.run(4s);
+        std::size_t starts = 0;
+        for (int number = 0; number < 6; ++number) {
+            starts += cluster.starts(JobId("job-" + std::to_string(number)));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2 * 48}, starts);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchCrashTest);
