Don't clear a suspect that was never seen alive

Change: only a run with a first listing can outlast. Test: runThatIsFirstListedWhileItIsStoppedIsNotCleared, which fails without the change.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -60,7 +60,7 @@
     Instant startedAt_{};
     std::int32_t percent_ = 0;
     std::int32_t initialPercent_ = 0; ///< progress when it was first listed, restored from its checkpoint
-    Duration listedAt_{}; ///< when it was first listed; on the agent's clock, so that late reports don't look like a stall
+    Duration listedAt_{}; ///< when it was first listed, except while it was being stopped; on the agent's clock, so that late reports don't look like a stall
     Duration progressAt_{}; ///< when percent_ last rose, on the agent's clock
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -361,7 +361,7 @@
     const std::size_t index = *indexOf(job.submission_, run.id_.task_);
     const auto crashes = job.crashes_.find(index);
     const milliseconds longest = crashes == job.crashes_.end() ? milliseconds(0) : crashes->second.longestSurvival_;
-    if (!hasOutlasted(executor.listedAt_ - run.listedAt_, longest)) {
+    if (run.listedAt_ == Duration(0) || !hasOutlasted(executor.listedAt_ - run.listedAt_, longest)) {
         return;
     }
     if (run.isolated_) {
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -1,4 +1,5 @@
 #include "batch/cluster.h"
+#include "core/batch/crashes.h"
 #include "support/expect.h"
 
 namespace bergamotwick::test {
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(repeatedCrashingJobIsGivenUp);
     CPPUNIT_TEST(taskThatCrashesLateIsGivenUp);
     CPPUNIT_TEST(soundTasksOutlastCrashingExecutors);
+    CPPUNIT_TEST(runThatIsFirstListedWhileItIsStoppedIsNotCleared);
     CPPUNIT_TEST(largeJobOutlastsLossOfAllExecutors);
     CPPUNIT_TEST(lossOfAllExecutorsMakesNoTaskWaitForIsolation);
     CPPUNIT_TEST_SUITE_END();
@@ -182,6 +184,23 @@
         }
     }
 
+    void runThatIsFirstListedWhileItIsStoppedIsNotCleared()
+    {
+        batch::ClusterState cluster;
+        batch::Job &job = cluster.jobs_[crashingJob];
+        job.submission_ = makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 4s);
+        job.progress_.tasks_.resize(1);
+        job.crashes_[0].crashes_ = 1;
+        job.crashes_[0].lastResolved_ = true;
+        batch::Executor executor;
+        executor.listedAt_ = 1h;
+        batch::Run run;
+        run.id_ = {{crashingJob, 0, 0, 0}, 1};
+        run.phase_ = batch::RunPhase::Stopping;
+        batch::clearSurvivor(cluster, executor, run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.crashes_.size());
+    }
+
     void largeJobOutlastsLossOfAllExecutors()
     {
         Cluster cluster(hostCount, 1);
