Soak of both releases side by side, with jobs that crash their executors

One job in twelve has a task that crashes the executor on which it starts. Checked: no record or message is unreadable to either release, the stored count of a crashing job's tasks never falls, no job is shown as failed without a cause, every job ends, and once all processes are of this release no crashing task is started three times more after three crashes (before that the former release may lead, which doesn't count).

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -21,13 +21,17 @@
 constexpr auto requestTimeout = 2'500ms;
 constexpr std::size_t idLength = 16;
 
+/// One job in this many has a task that crashes executors.
+constexpr unsigned crashingJobsOneIn = 12;
+
 std::string makeJobId(int caller, int number)
 {
     std::string digits = std::to_string(caller * 100'000 + number + 1);
     return std::string(idLength - digits.size(), '0') + digits;
 }
 
-Json randomJob(std::mt19937_64 &random)
+/// Returns a random job; if \p crashes, its first task crashes each executor on which it starts.
+Json randomJob(std::mt19937_64 &random, bool crashes)
 {
     const auto pick = [&random](int least, int most) { return std::uniform_int_distribution<int>(least, most)(random); };
     Json step = {{"count", pick(1, 4)}, {"cpu", 4'000}, {"mem_mb", 9'000}, {"estimate_ms", 800}};
@@ -47,14 +51,15 @@
         step.erase("gang");
         steps.push_back(step);
     }
-    return {{"spec", std::to_string(pick(200, 2'500))}, {"steps", std::move(steps)}};
+    return {{"spec", std::to_string(pick(200, 2'500)) + (crashes ? crashingSpec : "")}, {"steps", std::move(steps)}};
 }
 
 }
 
-Callers::Callers(std::vector<int> ports, SharedJudge &judge, std::uint64_t seed)
+Callers::Callers(std::vector<int> ports, SharedJudge &judge, std::uint64_t seed, CrashCounts *crashCounts)
     : ports_(std::move(ports))
     , judge_(judge)
+    , crashCounts_(crashCounts)
 {
     for (int number = 0; number < callerThreads; ++number) {
         threads_.emplace_back([this, number, seed] { runCaller(number, seed * 31 + static_cast<std::uint64_t>(number)); });
@@ -99,12 +104,17 @@
     for (int job = 0; !stopping_; ++job) {
         const std::string id = makeJobId(number, job);
         const std::string path = (random() % 3 == 0 ? "/u/" : "/n/") + id;
-        const std::string body = randomJob(random).dump();
+        const bool crashes = crashCounts_ != nullptr && random() % crashingJobsOneIn == 0;
+        const std::string body = randomJob(random, crashes).dump();
         batch::Submission submission = *platform::decodeJob(body);
         submission.id_ = JobId(id);
         {
             const std::lock_guard lock(judge_.mutex_);
             judge_.judge_.submitted(submission, 3);
+            if (crashes) {
+                judge_.judge_.setCrashing(submission.id_, 0);
+                crashCounts_->addCrashingJob(submission.id_);
+            }
         }
         bool outcomeUnknown = false;
         bool accepted = false;
@@ -183,6 +193,8 @@
             progress.id_ = JobId(path.substr(path.size() - idLength));
             progress.state_ = batch::JobState::Completed;
             judge_.judge_.stored(progress);
+        } else if (state == "failed") {
+            judge_.judge_.shownAsFailed(JobId(path.substr(path.size() - idLength)));
         }
     }
     const auto &judgeViolations = judge_.judge_.violations();
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_counts.h"
 #include "executor_server.h"
 
 #include <atomic>
@@ -25,7 +26,8 @@
 class Callers
 {
 public:
-    Callers(std::vector<int> ports, SharedJudge &judge, std::uint64_t seed);
+    /// If \p crashCounts is set, some of the jobs have a task that crashes executors, and it is told of them.
+    Callers(std::vector<int> ports, SharedJudge &judge, std::uint64_t seed, CrashCounts *crashCounts = nullptr);
     ~Callers();
 
     /// Stops submitting jobs and joins the threads.
@@ -45,6 +47,7 @@
 
     std::vector<int> ports_;
     SharedJudge &judge_;
+    CrashCounts *crashCounts_;
     mutable std::mutex mutex_;
     std::map<std::string, SubmissionState> jobs_; ///< keyed by request path
     std::map<std::string, std::string> finalStates_; ///< final states reported by entries, keyed by request path
--- a/soak/executor_server.cpp
+++ b/soak/executor_server.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds orderDelay{2'000};
 constexpr milliseconds heartbeatPeriod{500};
 constexpr milliseconds failureDelay{200};
+constexpr milliseconds crashDelay{10};
 constexpr std::chrono::seconds idleTimeout{5};
 
 const char *refusalReason(test::OrderResult result)
@@ -110,11 +111,26 @@
     const std::lock_guard lock(mutex_);
     {
         const std::lock_guard judging(judge_.mutex_);
-        judge_.judge_.executorDown(executor_->info().incarnation_);
+        judge_.judge_.executorCrashed(executor_->info().incarnation_);
     }
     startIncarnation(sameName);
 }
 
+/// Crashes the current incarnation a moment later, so that the start may still be answered.
+void ExecutorServer::crashSoon()
+{
+    if (crashing_.exchange(true)) {
+        return;
+    }
+    std::thread([this] {
+        std::this_thread::sleep_for(crashDelay);
+        if (!stopping_) {
+            restart(false);
+        }
+        crashing_ = false;
+    }).detach();
+}
+
 void ExecutorServer::serve()
 {
     httplib::Server &http = server_->http_;
@@ -163,8 +179,13 @@
                   call.order_.checkpoint_ = body.value("last_checkpoint", "");
                   call.leaseEnd_ = milliseconds(body.at("deadline_ms").get<std::int64_t>());
                   call.fencingToken_ = body.at("fence_token");
-                  const milliseconds runTime(std::stoll(body.at("spec").get<std::string>()));
-                  return executor_->start(call, soakNow(), failing_ ? std::min(runTime, failureDelay) : runTime, failing_);
+                  const auto spec = body.at("spec").get<std::string>();
+                  const milliseconds runTime(std::stoll(spec));
+                  const auto result = executor_->start(call, soakNow(), failing_ ? std::min(runTime, failureDelay) : runTime, failing_);
+                  if (result == test::OrderResult::Accepted && spec.ends_with(crashingSpec) && call.order_.run_.task_.index_ == 0) {
+                      crashSoon();
+                  }
+                  return result;
               }));
     http.Post("/bergamotwick/run-stop", orderHandler([this](const httplib::Request &request) {
                   const Json body = Json::parse(request.body);
--- a/soak/executor_server.h
+++ b/soak/executor_server.h
@@ -32,7 +32,7 @@
 
     [[nodiscard]] std::string address() const;
 
-    /// Ends the current incarnation and starts another one, under the same or a new name.
+    /// Ends the current incarnation, as a crash with all that runs on it, and starts another one, under the same or a new name.
     void restart(bool sameName);
 
     /// If \p failing is true, every run that starts from now on fails.
@@ -57,6 +57,7 @@
     struct Server;
 
     void startIncarnation(bool sameName);
+    void crashSoon();
     void serve();
     void serveOrders();
     void servePolls();
@@ -77,9 +78,13 @@
     std::atomic<bool> linkFaulty_{false};
     std::atomic<double> delayedOrderRate_{0};
     std::atomic<unsigned> orderCount_{0};
+    std::atomic<bool> crashing_{false};
     std::atomic<bool> stopping_{false};
 };
 
+/// Suffix of the spec of a job whose first task crashes each executor on which it starts.
+constexpr const char *crashingSpec = "crash";
+
 /// Returns the current time of the clock that judge and executors share. Thread-safe.
 [[nodiscard]] Instant soakNow();
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -78,6 +78,17 @@
     ::close(log);
 }
 
+bool Node::hasUnreadableInput() const
+{
+    std::ifstream log(logFile_);
+    for (std::string line; std::getline(log, line);) {
+        if (line.find("-unreadable") != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void Node::signal(int number) const
 {
     if (pid_ > 0) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -33,6 +33,15 @@
 
     void start();
 
+    /// Sets the program that the next start() runs.
+    void setProgram(const std::string &program)
+    {
+        program_ = program;
+    }
+
+    /// Returns whether its log says that a record or a message could not be read.
+    [[nodiscard]] bool hasUnreadableInput() const;
+
     /// Sends signal \p number to the process if it is running.
     void signal(int number) const;
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,11 +1,14 @@
 #include "callers.h"
+#include "crash_counts.h"
 #include "fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstring>
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <random>
 
@@ -21,6 +24,7 @@
 struct Options
 {
     std::string program_;
+    std::string formerProgram_; ///< an earlier release that runs first; its hosts are replaced one after the other
     std::string logFolder_ = "soak-logs";
     std::uint64_t firstSeed_ = 1;
     int seeds_ = 1;
@@ -37,21 +41,32 @@
 /// Delayed data arrives within this time after a link fault ends.
 constexpr milliseconds linkRecoveryTime{1'000};
 
+/// How long both releases run side by side, as a share of the time in which faults are injected.
+constexpr int mixedPercent = 60;
+
 /// Injects random faults drawn from a seed; several may be active at once.
 class FaultInjector
 {
 public:
-    FaultInjector(Fleet &fleet, std::uint64_t seed)
+    FaultInjector(Fleet &fleet, std::uint64_t seed, const Options &options)
         : fleet_(fleet)
+        , options_(options)
         , random_(seed)
     {
     }
 
-    /// Injects faults for \p duration, then recovers from all of them.
-    void run(milliseconds duration)
+    /// Injects faults for the time in the options, then recovers from all of them. With a former release, each process that is restarted runs
+    /// either release at first, then all are replaced by the present one.
+    void run()
     {
-        const Instant end = soakNow() + duration;
+        const milliseconds duration = options_.faultDuration_;
+        const Instant start = soakNow();
+        const Instant end = start + duration;
+        mixed_ = !options_.formerProgram_.empty();
         while (soakNow() < end) {
+            if (mixed_ && soakNow() > start + duration * mixedPercent / 100) {
+                replaceFormerRelease();
+            }
             injectNext();
             const Instant until = soakNow() + randomDuration(150, 900);
             while (soakNow() < until) {
@@ -92,6 +107,24 @@
         }
     }
 
+    /// Restarts all processes as the present release, one after the other.
+    void replaceFormerRelease()
+    {
+        runDueRecoveries(Instant::max());
+        logFault("replace", "all hosts by the present release");
+        mixed_ = false;
+        for (std::deque<Node> *nodes : {&fleet_.agents_, &fleet_.entries_}) {
+            for (Node &node : *nodes) {
+                node.signal(SIGTERM);
+                node.terminate(false);
+                node.setProgram(options_.program_);
+                node.start();
+            }
+        }
+        const std::lock_guard lock(fleet_.judge_.mutex_);
+        fleet_.judge_.judge_.judgeCrashingTasks(true);
+    }
+
     void logFault(const std::string &fault, const std::string &target)
     {
         std::cout << "  " << fault << " " << target << "\n";
@@ -130,8 +163,11 @@
         logFault(number == SIGKILL ? "kill" : "stop", node.name());
         node.signal(number);
         node.signal(SIGCONT);
-        scheduleRecovery(randomDuration(100, 4'000), [&node, number] {
+        scheduleRecovery(randomDuration(100, 4'000), [this, &node, number] {
             node.terminate(number == SIGKILL);
+            if (mixed_) {
+                node.setProgram(random_() % 2 == 0 ? options_.program_ : options_.formerProgram_);
+            }
             node.start();
         });
     }
@@ -192,7 +228,9 @@
     }
 
     Fleet &fleet_;
+    const Options &options_;
     std::mt19937_64 random_;
+    bool mixed_ = false; ///< both releases run side by side
     std::multimap<Instant, std::function<void()>> recoveries_;
 };
 
@@ -207,10 +245,16 @@
     std::vector<std::string> violations;
     std::size_t accepted = 0;
     {
-        Fleet fleet(options.program_, folder, seed, options.entries_, options.executors_);
-        Callers callers(fleet.entryPorts_, fleet.judge_, seed);
+        const bool mixed = !options.formerProgram_.empty();
+        Fleet fleet(mixed ? options.formerProgram_ : options.program_, folder, seed, options.entries_, options.executors_);
+        CrashCounts crashCounts(fleet.store_);
+        {
+            const std::lock_guard lock(fleet.judge_.mutex_);
+            fleet.judge_.judge_.judgeCrashingTasks(!mixed);
+        }
+        Callers callers(fleet.entryPorts_, fleet.judge_, seed, mixed ? &crashCounts : nullptr);
         std::this_thread::sleep_for(2s);
-        FaultInjector(fleet, seed).run(options.faultDuration_);
+        FaultInjector(fleet, seed, options).run();
         callers.stop();
         const Instant end = soakNow() + drainTimeout;
         for (unfinishedJobs = callers.unfinished(); !unfinishedJobs.empty() && soakNow() < end; unfinishedJobs = callers.unfinished()) {
@@ -218,6 +262,15 @@
         }
         accepted = callers.accepted();
         violations = callers.violations();
+        std::ranges::copy(crashCounts.violations(), std::back_inserter(violations));
+        for (const std::deque<Node> *nodes : {&fleet.agents_, &fleet.entries_}) {
+            for (const Node &node : *nodes) {
+                if (node.hasUnreadableInput()) {
+                    violations.push_back("UNREADABLE: see the log of " + node.name());
+                }
+            }
+        }
+        std::cout << "  " << crashCounts.counted() << " crashing jobs counted in the store\n";
     }
     for (const std::string &job : unfinishedJobs) {
         violations.push_back("LOST: not finished in time: " + job);
@@ -234,13 +287,14 @@
 
 int usage()
 {
-    std::cerr << "usage: bergamotwick-soak --program FILE [--seed N] [--seeds N] [--seconds N] [--entries N] [--executors N] [--logs FOLDER]\n";
+    std::cerr << "usage: bergamotwick-soak --program FILE [--former FILE] [--seed N] [--seeds N] [--seconds N] [--entries N] [--executors N] [--logs FOLDER]\n";
     return 2;
 }
 
 bool parseOptions(int argc, char **argv, Options &options)
 {
-    const std::array<option, 8> known{{{"program", required_argument, nullptr, 'p'},
+    const std::array<option, 9> known{{{"program", required_argument, nullptr, 'p'},
+                                       {"former", required_argument, nullptr, 'f'},
                                        {"seed", required_argument, nullptr, 's'},
                                        {"seeds", required_argument, nullptr, 'n'},
                                        {"seconds", required_argument, nullptr, 't'},
@@ -253,6 +307,9 @@
         case 'p':
             options.program_ = optarg;
             break;
+        case 'f':
+            options.formerProgram_ = optarg;
+            break;
         case 's':
             options.firstSeed_ = std::strtoull(optarg, nullptr, 10);
             break;
--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -95,6 +95,16 @@
     changed_.notify_all();
 }
 
+std::vector<std::string> StoreStandIn::values(const std::string &prefix) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> values;
+    for (auto item = items_.lower_bound(prefix); item != items_.end() && item->first.starts_with(prefix); ++item) {
+        values.push_back(platform::fromBase64(item->second.value_).value_or(""));
+    }
+    return values;
+}
+
 void StoreStandIn::setFaults(const StoreFaults &faults)
 {
     const std::lock_guard lock(mutex_);
--- a/soak/store_stand_in.h
+++ b/soak/store_stand_in.h
@@ -44,6 +44,9 @@
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
+    /// Returns the values of all keys that begin with \p prefix, whatever faults are injected.
+    [[nodiscard]] std::vector<std::string> values(const std::string &prefix) const;
+
     void setFaults(const StoreFaults &faults);
 
     /// Discards the event history: watches from earlier revisions are answered with status 410.
--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -69,7 +69,7 @@
 void Cluster::setCrashing(const JobId &job, CrashingTask task)
 {
     impl_->crashing_[job] = task;
-    impl_->judge_.setCrashing(job);
+    impl_->judge_.setCrashing(job, task.index_);
 }
 
 void Cluster::disconnectAgent(std::size_t host, Duration length)
--- a/tests/batch/judge.cpp
+++ b/tests/batch/judge.cpp
@@ -60,13 +60,14 @@
 {
     for (const batch::RunId &run : running_[incarnation]) {
         ++crashes_[run.task_];
+        ++allCrashes_[run.task_];
     }
     executorDown(incarnation);
 }
 
-void Judge::setCrashing(const JobId &job)
+void Judge::setCrashing(const JobId &job, std::optional<std::uint32_t> index)
 {
-    crashingJobs_.insert(job);
+    crashingJobs_[job] = index;
 }
 
 bool Judge::isDone(const SubmittedJob &job, std::uint32_t occurrence, std::uint32_t step) const
@@ -98,7 +99,9 @@
             }
         }
     }
-    if (crashingJobs_.contains(task.job_) && crashes_[task] >= maxCrashes && ++startsAfterCrashes_[task] >= forbiddenStarts) {
+    const auto crashing = crashingJobs_.find(task.job_);
+    const bool crashes = judgesCrashingTasks_ && crashing != crashingJobs_.end() && crashing->second.value_or(task.index_) == task.index_;
+    if (crashes && crashes_[task] >= maxCrashes && ++startsAfterCrashes_[task] >= forbiddenStarts) {
         addViolation("BUDGET of crashes", run, incarnation);
     }
     if (acknowledgedCompletions_.contains(task)) {
@@ -159,8 +162,9 @@
     if (progress.state_ == batch::JobState::Failed) {
         const auto maxAttempts = static_cast<std::size_t>(jobs_.at(progress.id_).maxAttempts_);
         const auto &tasks = progress.tasks_;
-        const bool mayBeGivenUp = std::any_of(
-            crashes_.begin(), crashes_.end(), [&](const auto &entry) { return entry.first.job_ == progress.id_ && entry.second >= crashesBeforeGivingUp; });
+        const bool mayBeGivenUp = std::any_of(allCrashes_.begin(), allCrashes_.end(), [&](const auto &entry) {
+            return entry.first.job_ == progress.id_ && entry.second >= crashesBeforeGivingUp;
+        });
         if (!mayBeGivenUp && std::none_of(tasks.begin(), tasks.end(), [maxAttempts](const auto &task) { return task.failedRuns_.size() >= maxAttempts; })) {
             violations_.push_back("LOST: " + progress.id_.str() + " is stored as failed without a cause");
         }
@@ -178,6 +182,28 @@
     }
 }
 
+void Judge::shownAsFailed(const JobId &job)
+{
+    const bool crashed = std::any_of(
+        allCrashes_.begin(), allCrashes_.end(), [&job](const auto &entry) { return entry.first.job_ == job && entry.second >= crashesBeforeGivingUp; });
+    std::map<std::uint32_t, std::int32_t> failuresByStep;
+    for (const auto &[task, failures] : acknowledgedFailures_) {
+        failuresByStep[task.step_] += task.job_ == job ? failures : 0;
+    }
+    const std::int32_t maxAttempts = jobs_.at(job).maxAttempts_;
+    const bool failed = std::any_of(failuresByStep.begin(), failuresByStep.end(), [maxAttempts](const auto &step) { return step.second >= maxAttempts; });
+    if (!crashed && !failed) {
+        violations_.push_back("LOST: " + job.str() + " is shown as failed without a cause");
+    }
+}
+
+void Judge::judgeCrashingTasks(bool judged)
+{
+    judgesCrashingTasks_ = judged;
+    crashes_.clear();
+    startsAfterCrashes_.clear();
+}
+
 std::size_t Judge::starts(const JobId &job) const
 {
     return jobs_.at(job).starts_;
--- a/tests/batch/judge.h
+++ b/tests/batch/judge.h
@@ -3,6 +3,7 @@
 #include "core/batch/board.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,13 +27,20 @@
     /// The executor crashed with all that runs on it.
     void executorCrashed(const batch::Incarnation &incarnation);
 
-    /// Some or all tasks of \p job crash each executor on which they start: it may be given up.
-    void setCrashing(const JobId &job);
+    /// The tasks of \p job with \p index in their step, or all if it is unset, crash each executor on which they start.
+    void setCrashing(const JobId &job, std::optional<std::uint32_t> index);
     void began(const batch::Incarnation &incarnation, const batch::RunId &run, const std::string &checkpoint, Instant now, bool delayedOrder);
     void ended(const batch::Incarnation &incarnation, const batch::RunId &run, batch::EndKind kind);
     void acknowledged(const batch::EndedRun &end);
     void stored(const batch::Progress &progress);
 
+    /// The job is shown to callers as failed.
+    void shownAsFailed(const JobId &job);
+
+    /// Sets whether the starts of crashing tasks are judged. While they aren't, a release may lead that doesn't count crashes; crashes and
+    /// starts are then counted anew.
+    void judgeCrashingTasks(bool judged);
+
     [[nodiscard]] const std::vector<std::string> &violations() const noexcept
     {
         return violations_;
@@ -70,9 +78,11 @@
     std::set<batch::TaskId> completedTasks_;
     std::set<batch::TaskId> acknowledgedCompletions_;
     std::map<batch::TaskId, std::int32_t> acknowledgedFailures_;
-    std::set<JobId> crashingJobs_;
+    std::map<JobId, std::optional<std::uint32_t>> crashingJobs_; ///< with the index of the crashing tasks
     std::map<batch::TaskId, std::uint32_t> crashes_; ///< executors that crashed while the task ran on them
+    std::map<batch::TaskId, std::uint32_t> allCrashes_; ///< likewise, also those while crashing tasks aren't judged
     std::map<batch::TaskId, std::uint32_t> startsAfterCrashes_; ///< starts of a task after its crashes reached maxCrashes
+    bool judgesCrashingTasks_ = true;
     std::vector<std::string> violations_;
 };
 
