Judge room for late orders as before, except against the capacity that a shrunk one replaced

Found when the change was read once more: with the shrinking rooms, the judge of the simulated cluster and of the soak had stopped checking LIMIT for every order that was carried out late. Before, it checked them. No code of the product changes. Run: 132 Batch unit tests and 3 random tests passed; the soaks were not rerun.

--- a/tests/batch/judge.cpp
+++ b/tests/batch/judge.cpp
@@ -130,8 +130,9 @@
         runsByStep[activeRun.task_.step_] += activeRun.task_.job_ == task.job_ && activeRun.task_.occurrence_ == task.occurrence_ ? 1 : 0;
     }
     const auto former = formerCapacities_.find(incarnation);
-    const bool fitsFormer = former != formerCapacities_.end() && now < former->second.graceEnd_ && former->second.capacity_.covers(used);
-    if (!delayedOrder && !fitsFormer && !executors_.at(incarnation).capacity_.covers(used)) {
+    const bool mayUseFormer = former != formerCapacities_.end() && (delayedOrder || now < former->second.graceEnd_);
+    const bool fitsFormer = mayUseFormer && former->second.capacity_.covers(used);
+    if (!fitsFormer && !executors_.at(incarnation).capacity_.covers(used)) {
         addViolation("LIMIT", run, incarnation);
     }
     if (step.antiAffinity_ > 0 && runsByStep[task.step_] > step.antiAffinity_) {
