log: what an inferred end rests on

run-settled says which incarnation, since when the leader has its lists, how long its agent has been silent and how old the term is; the agent says how many late starts it still expects and since when all leases are over. No decision is changed.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -296,7 +296,12 @@
     }
     if (!sameIncarnation) {
         formerIncarnation_ = {};
-        log("executor-seen", {{"executor", incarnation.executor_.str()}, {"born", std::to_string(incarnation.startTimeMs_)}});
+        const bool sameName = incarnation.executor_ == executor_.incarnation_.executor_;
+        log("executor-seen",
+            {{"executor", incarnation.executor_.str()},
+             {"born", std::to_string(incarnation.startTimeMs_)},
+             {"same_name", sameName ? "yes" : "no"},
+             {"late_starts", std::to_string(orders_.lateStarts(now_))}});
         listsValid_ = false;
         incarnationConfirmed_ = false;
         clockKnown_ = false;
@@ -423,7 +428,10 @@
     if (startTimeMs <= presentStartTimeMs()) {
         return;
     }
-    log("executor-replaced", {{"executor", executor_.incarnation_.executor_.str()}, {"born", std::to_string(startTimeMs)}});
+    log("executor-replaced",
+        {{"executor", executor_.incarnation_.executor_.str()},
+         {"born", std::to_string(startTimeMs)},
+         {"late_starts", std::to_string(orders_.lateStarts(now_))}});
     answeringStartTimeMs_ = startTimeMs;
     reportDue_ = true;
     pollNow(); // its first fencing token, so that calls to the former incarnation aren't carried out
@@ -458,6 +466,8 @@
     log("executor-empty",
         {{"executor", executor_.incarnation_.executor_.str()},
          {"reason", reason},
+         {"late_starts", std::to_string(orders_.lateStarts(now_))},
+         {"lease_over_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - lastLeaseEnd_).count())},
          {"lists_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - listsSentAt_).count())}});
     listsValid_ = true;
     listedAt_ = now_.time_since_epoch();
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -83,6 +83,7 @@
     std::string agent_;
     bool reported_ = false; ///< its agent has reported to this leader
     bool listed_ = false; ///< its current incarnation has reported its lists to this leader
+    Instant firstListedAt_{}; ///< when the lists of its current incarnation were first reported to this leader; zero if they weren't yet
     bool responsive_ = true; ///< it answers its agent's calls
     Instant unresponsiveSince_{}; ///< when responsive_ last became false
     bool lost_ = false; ///< the loss of its current incarnation has been recorded
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -37,6 +37,12 @@
     return agent == cluster.agents_.end() ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(agent->second.sentAt_ - executor->second.listedAt_);
 }
 
+/// Returns the time since \p past, or "-" if that isn't known.
+std::string msSince(const ClusterState &cluster, Instant past)
+{
+    return past == Instant() ? "-" : std::to_string(std::chrono::duration_cast<milliseconds>(cluster.now_ - past).count());
+}
+
 /// Removes a run that is certain not to be running, although no end of it was reported.
 void settleRun(ClusterState &cluster, const RunId &id, const char *reason, bool mayHaveStarted = true)
 {
@@ -45,11 +51,16 @@
         return;
     }
     const bool stopping = found->second.phase_ == RunPhase::Stopping;
+    const Executor &executor = cluster.executors_.at(found->second.placement_.executor_);
     cluster.logEvent("run-settled",
                      {{"run", toString(id)},
                       {"reason", reason},
                       {"executor", found->second.placement_.executor_.str()},
                       {"phase", toString(found->second.phase_)},
+                      {"born", std::to_string(found->second.placement_.startTimeMs_)},
+                      {"listed_for_ms", msSince(cluster, executor.firstListedAt_)},
+                      {"contact_age_ms", msSince(cluster, executor.lastReport_)},
+                      {"leader_age_ms", msSince(cluster, cluster.leaderSince_)},
                       {"lists_age_ms", std::to_string(listsAge(cluster, found->second.placement_.executor_).count())}});
     if (mayHaveStarted) {
         countSpentStart(cluster, found->second);
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -320,6 +320,12 @@
     });
 }
 
+std::size_t Orders::lateStarts(Instant now) const
+{
+    const auto isLate = [now](const auto &entry) { return mayStartLate(entry.second, now); };
+    return static_cast<std::size_t>(std::count_if(orders_.begin(), orders_.end(), isLate));
+}
+
 int Orders::attempts(const RunId &run) const
 {
     const auto found = orders_.find(run);
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -3,6 +3,7 @@
 #include "core/batch/messages.h"
 #include "core/batch/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -106,6 +107,9 @@
     /// Returns whether a start called before \p now, by this process or a former one, may still be carried out late.
     [[nodiscard]] bool mayStartLate(Instant now) const noexcept;
 
+    /// Returns the number of runs with a start that may still be carried out after \p now although its call was given up, or is in progress.
+    [[nodiscard]] std::size_t lateStarts(Instant now) const;
+
     /// Returns how often the start of \p run has been called.
     [[nodiscard]] int attempts(const RunId &run) const;
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -207,6 +207,7 @@
         }
         executor.lost_ = false;
         executor.listed_ = false;
+        executor.firstListedAt_ = Instant();
         executor.orphans_.clear();
         executor.pendingEnds_.clear();
         executor.acknowledged_ = 0;
@@ -322,6 +323,7 @@
         resolveLosses(cluster, executor.info_.incarnation_);
     }
     executor.listed_ = true;
+    executor.firstListedAt_ = executor.firstListedAt_ == Instant() ? cluster.now_ : executor.firstListedAt_;
     if (!isInferred(report)) {
         executor.listedAt_ = report.listedAt_; // how the executor was lost shows by the time since its own last lists
     }
