Runs don't end for good while a call of their start may still be carried out

Cause: a call of a start that got no answer was forgotten when its run had ended, when its stop was confirmed, or when another incarnation was heard of (Orders::clear). The call may be carried out 2 to 12 s later, by the next incarnation under the same id before that has seen a fencing token. Change: the agent keeps such orders through the incarnations of one id. Until 12 s after the call was given up, a success is reported but not acknowledged; any other end is provisional: it says that the run isn't at work, so that no crash is blamed on it, but the task doesn't start elsewhere; a stop isn't confirmed. A run that is listed although none of its calls was accepted shows that one of them was carried out. Ends carry number 0 while they are provisional, which a leader of the release before takes as seen. Ruled out: waiting for all ends; only runs whose start went unanswered wait.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -3,6 +3,7 @@
 #include "core/batch/board.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bergamotwick::batch {
 
@@ -26,7 +27,14 @@
 /// As above, while the executor's process isn't running and its next incarnation may carry out a start that was meant for this one.
 constexpr milliseconds pollRetryDelayBeforeLateStarts{25};
 
-/// In the same case, time without an answer after which a new incarnation is polled once more: the poll may have been held up.
+/// Delay before an executor is polled again that lists ends which are about to be acknowledged.
+constexpr milliseconds pollDelayUntilAcknowledged{50};
+
+/// As above, while no listed end may be acknowledged because the runs' starts may be carried out late.
+constexpr milliseconds pollDelayWhileEndsAreHeld{200};
+
+/// While a next incarnation may carry out a start that was meant for this one, time without an answer after which a new incarnation is polled once more: the
+/// poll may have been held up.
 constexpr milliseconds fencingPollDelay{100};
 
 /// Time between such polls; they may hang, too, and occupy the threads that call the executor.
@@ -69,9 +77,7 @@
     }
     callDueOrders();
     hurryFencing();
-    if (!isReplaced() || isGone()) { // otherwise a lost start may run on the next incarnation, whose lists aren't used before its heartbeat
-        reportDue_ = orders_.settleLostStarts(now_) || reportDue_;
-    }
+    reportDue_ = orders_.settleLostStarts(now_, emptyAt()) || reportDue_;
     orders_.prune(now_);
     if (reportDue_ || now_ - reportedAt_ >= reportPeriod) {
         reportDue_ = false;
@@ -93,9 +99,38 @@
     return connectionRefused && orders_.mayStartLate(now) ? pollRetryDelayBeforeLateStarts : pollRetryDelayNormally;
 }
 
+milliseconds AgentCore::pollDelayAfterEnds(Instant now) const
+{
+    const bool areAllHeld = std::all_of(ended_.begin(), ended_.end(), [&](const EndedRun &end) { return orders_.mayStartLate(now, end.run_); });
+    return areAllHeld ? pollDelayWhileEndsAreHeld : pollDelayUntilAcknowledged;
+}
+
 PollCall AgentCore::pollCall(milliseconds wait)
 {
-    return {polledIncarnation(), fencingToken(), incarnationConfirmed_ ? acknowledged_ : 0, leaseEnd(), wait};
+    return {polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
+}
+
+/// Returns the number up to which ends may be acknowledged: a run whose start may be carried out late must not have ended for good before.
+std::int64_t AgentCore::acknowledgement() const
+{
+    if (!incarnationConfirmed_) {
+        return 0;
+    }
+    std::int64_t number = acknowledged_;
+    for (const EndedRun &end : ended_) {
+        number = orders_.mayStartLate(now_, end.run_) ? std::min(number, end.number_ - 1) : number;
+    }
+    return number;
+}
+
+/// Returns the last time at which certainly nothing ran on the executor, which isn't answering, or zero.
+Instant AgentCore::emptyAt() const
+{
+    if (isGone()) {
+        return refusedAt_;
+    }
+    // A call that was given up may have started a run, or extended its lease, on a next incarnation that isn't known.
+    return now_ > lastLeaseEnd_ + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_) ? now_ : Instant();
 }
 
 /// Returns the executor to poll. A process of the agent that has heard of none yet polls the former one, whose name a next incarnation may have, while
@@ -301,8 +336,13 @@
         incarnationConfirmed_ = false;
         clockKnown_ = false;
         acknowledged_ = 0;
-        orders_.clear();
-        rebornAt_ = incarnation.executor_ == executor_.incarnation_.executor_ ? std::optional(now_) : std::nullopt;
+        ended_.clear();
+        if (sameName) {
+            orders_.executorReborn(now_);
+        } else {
+            orders_.clear(); // no call to the former executor is carried out by one of another name
+        }
+        rebornAt_ = sameName ? std::optional(now_) : std::nullopt;
         // Until it has seen its fencing token, it carries out calls to a former incarnation, whose clock was ahead: the lease is then the longest.
         if (fencedStartTimeMs_ != incarnation.startTimeMs_) {
             lastLeaseEnd_ = now_ + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_);
@@ -386,14 +426,13 @@
         return; // the answer to a later poll has already been processed
     }
     listsSentAt_ = answer.sentAt_;
-    const bool changed = !listsValid_ || answer.running_.size() != running_.size() || !answer.ended_.empty();
+    const auto isHeld = [this](const EndedRun &end) { return orders_.mayStartLate(now_, end.run_); };
+    const bool hasEnds = !std::all_of(answer.ended_.begin(), answer.ended_.end(), isHeld) || answer.ended_.size() != ended_.size();
+    const bool changed = !listsValid_ || answer.running_.size() != running_.size() || hasEnds;
     listsValid_ = true;
     listedAt_ = std::min(now_, answer.sentAt_ + answer.wait_).time_since_epoch();
     running_ = answer.running_;
     ended_ = answer.ended_;
-    if (ended_.size() < maxEndsPerList) {
-        std::erase_if(ended_, [this](const EndedRun &end) { return end.number_ <= acknowledged_; });
-    }
     Orders::ListedRuns lists{answer.sentAt_, {}, {}, answer.ended_.size() < maxEndsPerList};
     for (const RunningTask &task : answer.running_) {
         lists.running_.insert(task.run_);
@@ -502,11 +541,26 @@
         report.executor_.capacity_ = {}; // it gets no more work
     }
     report.running_ = running_;
-    report.ended_ = ended_;
+    addEndsTo(report);
     orders_.addTo(report, now_);
     return report;
 }
 
+/// Adds the listed ends. A run that has ended without success is to be started again: not while its former start may be carried out, so that its end is
+/// provisional. The leader acknowledges ends in their order, so that those that follow are provisional as well.
+void AgentCore::addEndsTo(Report &report) const
+{
+    const bool isFull = ended_.size() >= maxEndsPerList;
+    const auto isHeld = [this](const EndedRun &end) { return end.kind_ != EndKind::Done && orders_.mayStartLate(now_, end.run_); };
+    const auto firstHeld = std::find_if(ended_.begin(), ended_.end(), isHeld);
+    std::copy_if(ended_.begin(), firstHeld, std::back_inserter(report.ended_), [&](const EndedRun &end) { return isFull || end.number_ > acknowledged_; });
+    for (auto end = firstHeld; end != ended_.end(); ++end) {
+        report.starting_.push_back(end->run_);
+        report.ended_.push_back({provisionalEnd, end->run_, end->kind_, end->checkpoint_});
+    }
+    report.listsValid_ = listsValid_ && (!isFull || firstHeld == ended_.end());
+}
+
 void AgentCore::log(std::string event, std::vector<std::pair<std::string, std::string>> fields)
 {
     outputs_.emplace_back(LogEvent{std::move(event), std::move(fields)});
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -134,6 +134,9 @@
     /// kept short.
     [[nodiscard]] milliseconds pollRetryDelay(Instant now, bool connectionRefused) const noexcept;
 
+    /// Returns how long the polling loop waits after a poll that returned ends: the executor answers at once until they are acknowledged.
+    [[nodiscard]] milliseconds pollDelayAfterEnds(Instant now) const;
+
 private:
     void handle(const Directive &directive);
     void handle(const HeartbeatReceived &heartbeat);
@@ -157,6 +160,8 @@
     void pollNow();
     void hurryFencing();
     [[nodiscard]] PollCall pollCall(milliseconds wait);
+    [[nodiscard]] std::int64_t acknowledgement() const;
+    [[nodiscard]] Instant emptyAt() const;
     [[nodiscard]] const Incarnation &polledIncarnation() const;
     [[nodiscard]] std::int64_t presentStartTimeMs() const;
     [[nodiscard]] std::int64_t fencingToken() const;
@@ -164,6 +169,7 @@
     [[nodiscard]] ExecutorTime executorClock(Instant at) const;
     [[nodiscard]] std::optional<ExecutorTime> leaseEnd();
     [[nodiscard]] Report report();
+    void addEndsTo(Report &report) const;
 
     std::string name_;
     HeartbeatLimits heartbeatLimits_;
@@ -196,7 +202,7 @@
     Instant listsSentAt_{}; ///< when the poll that returned the lists was sent
     Duration listedAt_{}; ///< when the executor made the lists
     std::vector<RunningTask> running_;
-    std::vector<EndedRun> ended_;
+    std::vector<EndedRun> ended_; ///< as listed, with those that are acknowledged but not yet forgotten
     Orders orders_;
     std::int64_t acknowledged_ = 0;
     std::uint64_t sequence_ = 0;
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -67,6 +67,7 @@
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
     Instant mayStartUntil_{}; ///< until then, a start of it that wasn't answered may be carried out, although it has been listed
+    bool hasEnded_ = false; ///< its executor no longer runs it, but a call of its start may still be carried out
     bool lossRecorded_ = false; ///< the loss of its executor has been recorded for it, although a start of it may still be carried out
 };
 
--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -292,7 +292,7 @@
     ExecutorLoss loss{executor.info_.incarnation_, kind, {}};
     for (const RunId &id : executor.runs_) {
         const Run &run = cluster.runs_.at(id);
-        if (run.phase_ == RunPhase::Committing || run.lossRecorded_ || run.placement_ != loss.incarnation_ || notStarted.contains(id)) {
+        if (run.phase_ == RunPhase::Committing || run.lossRecorded_ || run.hasEnded_ || run.placement_ != loss.incarnation_ || notStarted.contains(id)) {
             continue;
         }
         const bool listed = run.listedAt_ != Duration(0);
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -50,10 +50,14 @@
     GangIncomplete, ///< timed out waiting for the other members of its gang
 };
 
+/// EndedRun::number_ of an end that is reported again later, with its own number: until then its run isn't to be settled, or those of ends before it aren't.
+/// Releases that don't know of it take it for an end that was reported before.
+constexpr std::int64_t provisionalEnd = 0;
+
 /// The end of a run; the executor repeats it until it is acknowledged.
 struct EndedRun
 {
-    std::int64_t number_ = 0; ///< increases within an incarnation
+    std::int64_t number_ = 0; ///< increases within an incarnation, from 1 on; or provisionalEnd
     RunId run_;
     EndKind kind_ = EndKind::Done;
     std::string checkpoint_;
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -58,9 +58,16 @@
     return order.unansweredAt_ && now - *order.unansweredAt_ < maxCallDelay;
 }
 
+/// Returns how many calls of the start may not have been carried out. A run that has started shows that one of its calls was, if none was accepted.
+int Orders::callsNotCarriedOut(const Order &order) noexcept
+{
+    const bool isOneCarriedOut = order.hasStarted_ && !order.wasAccepted_ && !order.mayHaveFormerCalls_;
+    return order.unansweredCalls_ + order.callsInProgress_ - (isOneCarriedOut ? 1 : 0);
+}
+
 bool Orders::mayStartLate(const Order &order, Instant now)
 {
-    return order.callsInProgress_ > 0 || isUnanswered(order, now);
+    return callsNotCarriedOut(order) > 0 && (order.callsInProgress_ > 0 || isUnanswered(order, now));
 }
 
 void Orders::clear() noexcept
@@ -68,6 +75,14 @@
     orders_.clear();
 }
 
+void Orders::executorReborn(Instant now)
+{
+    std::erase_if(orders_, [now](const auto &entry) { return !mayStartLate(entry.second, now); });
+    for (auto &[run, order] : orders_) {
+        enter(order, Phase::Lost, now);
+    }
+}
+
 void Orders::start(Instant now, const StartOrder &start)
 {
     const auto [found, isNew] = orders_.try_emplace(start.run_);
@@ -75,6 +90,7 @@
     order.wantedAt_ = now;
     if (isNew) {
         order.start_ = start;
+        order.mayHaveFormerCalls_ = now < formerCallsUntil_;
         order.phaseSince_ = now;
         order.callAt_ = now;
     }
@@ -177,8 +193,10 @@
     }
     Order &order = found->second;
     order.callsInProgress_ = std::max(0, order.callsInProgress_ - 1);
+    order.wasAccepted_ = order.wasAccepted_ || answer == OrderAnswer::Accepted;
     if (answer == OrderAnswer::Unknown) {
         order.unansweredAt_ = now;
+        ++order.unansweredCalls_;
     }
     if (order.phase_ == Phase::Lost) {
         lostStartAnswered(order, answer, now);
@@ -261,10 +279,10 @@
         && std::all_of(running.begin(), running.end(), [&](const RunningTask &task) { return stopOverdue(now, task.run_) > Duration(0); });
 }
 
-/// Returns whether \p lists show that \p run, whose stop hasn't been carried out, has ended or has never started and can't any longer.
+/// Returns whether \p lists show that \p run, whose stop hasn't been carried out, has ended or has never started.
 bool Orders::hasEndedUnstopped(const RunId &run, const Order &order, const ListedRuns &lists) const
 {
-    const bool mayStart = order.hasStarted_ || mayStartLate(order, lists.sentAt_) || lists.sentAt_ < formerCallsUntil_;
+    const bool mayStart = order.hasStarted_ || lists.sentAt_ < formerCallsUntil_;
     const bool isMissing = lists.complete_ && lists.sentAt_ > order.phaseSince_ && !lists.running_.contains(run);
     return lists.ended_.contains(run) || (isMissing && !mayStart);
 }
@@ -276,11 +294,13 @@
         const bool isListed = lists.running_.contains(run) || lists.ended_.contains(run);
         const bool stopLimitPassed = lists.sentAt_ > order.phaseSince_ + stopLimit_;
         const bool isStopped = order.phase_ == Phase::Stopped && stopLimitPassed && !isListed && lists.complete_;
+        const bool hasEnded = isStopped || (order.phase_ == Phase::Stopping && hasEndedUnstopped(run, order, lists));
+        order.hasEnded_ = hasEnded;
         if (isListed && (order.phase_ == Phase::Starting || order.phase_ == Phase::Lost)) {
             enter(order, Phase::Started, now);
         } else if (order.phase_ == Phase::Lost) {
-            beginStop(order, now); // the executor hasn't ended after all
-        } else if (isStopped || (order.phase_ == Phase::Stopping && hasEndedUnstopped(run, order, lists))) {
+            beginStop(order, now); // the executor hasn't ended after all, or its next incarnation must not start the run
+        } else if (hasEnded && !mayStartLate(order, lists.sentAt_)) {
             enter(order, Phase::Ended, now);
             changed = true;
         } else if (order.phase_ == Phase::Started && lists.sentAt_ > order.phaseSince_) {
@@ -299,11 +319,11 @@
     }
 }
 
-bool Orders::settleLostStarts(Instant now)
+bool Orders::settleLostStarts(Instant now, Instant emptyAt)
 {
     bool changed = false;
     for (auto &[run, order] : orders_) {
-        if (order.phase_ == Phase::Lost && !mayStartLate(order, now)) {
+        if (order.phase_ == Phase::Lost && !mayStartLate(order, emptyAt)) {
             enter(order, Phase::Ended, now);
             changed = true;
         }
@@ -326,6 +346,12 @@
     return static_cast<std::size_t>(std::count_if(orders_.begin(), orders_.end(), isLate));
 }
 
+bool Orders::mayStartLate(Instant now, const RunId &run) const
+{
+    const auto found = orders_.find(run);
+    return found != orders_.end() && mayStartLate(found->second, now);
+}
+
 int Orders::attempts(const RunId &run) const
 {
     const auto found = orders_.find(run);
@@ -343,10 +369,13 @@
 void Orders::addTo(Report &report, Instant now) const
 {
     for (const auto &[run, order] : orders_) {
-        const bool unlisted = order.phase_ == Phase::Started && (!order.listed_ || isUnanswered(order, now));
+        const bool unlisted = order.phase_ == Phase::Started && (!order.listed_ || mayStartLate(order, now));
         const bool stopping = order.phase_ == Phase::Stopping || order.phase_ == Phase::Stopped;
         if (order.phase_ == Phase::Starting || unlisted || stopping || order.phase_ == Phase::Lost) {
             report.starting_.push_back(run);
+            if (order.hasEnded_) {
+                report.ended_.push_back({provisionalEnd, run, EndKind::Stopped, ""});
+            }
         } else if (order.phase_ == Phase::Refused) {
             report.settled_.push_back({run, OrderOutcome::Refused});
         } else if (order.phase_ == Phase::Ended) {
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -37,9 +37,13 @@
     /// Records that this process has begun at \p now. A former process of the agent may have made calls that it doesn't know.
     void begin(Instant now) noexcept;
 
-    /// Forgets all orders, because another incarnation has taken the executor's place.
+    /// Forgets all orders, because an executor of another name has taken the place.
     void clear() noexcept;
 
+    /// Records that the executor's next incarnation has taken its place. It carries out calls to the former one until it has seen its own fencing token:
+    /// the starts of which a call may still be on its way stay open, all other orders are forgotten.
+    void executorReborn(Instant now);
+
     /// Adds the order to start \p start, to be called at once. If there is an order for its run, records only that the leader still wants it.
     void start(Instant now, const StartOrder &start);
 
@@ -98,8 +102,9 @@
     /// stays open until then.
     void executorEnded(Instant now);
 
-    /// Settles the starts on an executor that has ended once they can't be carried out any longer. Returns whether outcomes have changed.
-    [[nodiscard]] bool settleLostStarts(Instant now);
+    /// Settles the starts on an executor that has ended if none of their calls could be carried out after \p emptyAt, when nothing ran on it. Returns
+    /// whether outcomes have changed.
+    [[nodiscard]] bool settleLostStarts(Instant now, Instant emptyAt);
 
     /// Removes orders whose outcome has been reported for long enough.
     void prune(Instant now);
@@ -110,6 +115,9 @@
     /// Returns the number of runs with a start that may still be carried out after \p now although its call was given up, or is in progress.
     [[nodiscard]] std::size_t lateStarts(Instant now) const;
 
+    /// Returns whether a start of \p run may be carried out after \p now: a call of it is in progress, or was given up shortly before.
+    [[nodiscard]] bool mayStartLate(Instant now, const RunId &run) const;
+
     /// Returns how often the start of \p run has been called.
     [[nodiscard]] int attempts(const RunId &run) const;
 
@@ -126,7 +134,7 @@
         Refused,
         Stopping,
         Stopped, ///< the stop was answered; the run may take up to the stop limit to end
-        Lost, ///< the executor has ended, but a call of the start may still reach its next incarnation
+        Lost, ///< the incarnation that was called has ended, but a call of the start may still reach the next one
         Ended, ///< no longer listed after an answered stop, or the executor crashed or its leases expired
     };
 
@@ -138,10 +146,14 @@
         Instant wantedAt_{}; ///< when the leader last ordered its start
         int attempts_ = 0; ///< calls of the start
         int callsInProgress_ = 0; ///< calls of the start that haven't been answered or given up
+        int unansweredCalls_ = 0; ///< calls of the start that were given up without an answer
+        bool wasAccepted_ = false; ///< a call of the start was answered as accepted
+        bool mayHaveFormerCalls_ = false; ///< a former process of the agent may have called its start
         bool wasStopRefused_ = false; ///< an answer to its stop said that it wasn't carried out
         std::optional<Instant> callAt_; ///< when it is called, or called again
         std::optional<Instant> unansweredAt_; ///< when a call of the start was last given up without an answer; it may still be carried out
         bool hasStarted_ = false; ///< its start was accepted, or the executor has listed it
+        bool hasEnded_ = false; ///< no longer listed after its stop, although a call of its start may still be carried out
         bool listed_ = false; ///< lists requested after the start was accepted show whether it runs
     };
 
@@ -149,6 +161,7 @@
     static void beginStop(Order &order, Instant now);
     [[nodiscard]] bool mayHaveStarted(const Order &order, Instant now) const;
     [[nodiscard]] static bool isUnanswered(const Order &order, Instant now);
+    [[nodiscard]] static int callsNotCarriedOut(const Order &order) noexcept;
     [[nodiscard]] static bool mayStartLate(const Order &order, Instant now);
     [[nodiscard]] bool hasEndedUnstopped(const RunId &run, const Order &order, const ListedRuns &lists) const;
     void stopUnwantedStarts(Instant now);
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -139,9 +139,27 @@
     }
 }
 
+/// Applies an end that will be reported again: a success counts at once; after any other end, the task waits until no former start can be carried out.
+void applyProvisionalEnd(ClusterState &cluster, Executor &executor, const EndedRun &end)
+{
+    const auto run = cluster.runs_.find(end.run_);
+    if (run == cluster.runs_.end() || run->second.placement_ != executor.info_.incarnation_) {
+        return;
+    }
+    if (end.kind_ == EndKind::Done) {
+        applyEnd(cluster, executor, end);
+    } else {
+        run->second.hasEnded_ = true;
+    }
+}
+
 void applyEnds(ClusterState &cluster, Executor &executor, const std::vector<EndedRun> &ends)
 {
     for (const EndedRun &end : ends) {
+        if (end.number_ == provisionalEnd) {
+            applyProvisionalEnd(cluster, executor, end);
+            continue;
+        }
         const bool seen = end.number_ <= executor.acknowledged_
             || std::any_of(executor.pendingEnds_.begin(), executor.pendingEnds_.end(), [&end](const PendingEnd &past) { return past.number_ == end.number_; });
         if (seen) {
@@ -179,6 +197,7 @@
     Run &run = found->second;
     run.recovered_ = false;
     run.lossRecorded_ = false;
+    run.hasEnded_ = false;
     if (run.phase_ == RunPhase::Committing || run.phase_ == RunPhase::Starting) {
         run.phase_ = RunPhase::Running;
         resetProgress(run, task, executor.listedAt_);
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -153,7 +153,7 @@
             }
             const PollResult pollResult = pollOnce(client, call, sentAt);
             if (pollResult == PollResult::EndedRuns) {
-                std::this_thread::sleep_for(shortPollDelay); // the executor answers at once until the leader has acknowledged the ended runs
+                std::this_thread::sleep_for(delayAfterEnds());
             } else if (pollResult != PollResult::NoEndedRuns) {
                 std::this_thread::sleep_for(retryDelayAfter(pollResult));
             }
@@ -173,6 +173,12 @@
         return core_.pollRetryDelay(bootNow(), failure == PollResult::ConnectionRefused);
     }
 
+    milliseconds delayAfterEnds()
+    {
+        const std::lock_guard lock(coreMutex_);
+        return core_.pollDelayAfterEnds(bootNow());
+    }
+
     PollResult pollOnce(platform::ExecutorClient &client, const batch::PollCall &call, Instant sentAt)
     {
         return leaf::try_handle_all(
--- a/tests/batch/agent_bench.h
+++ b/tests/batch/agent_bench.h
@@ -105,6 +105,11 @@
         return agent_.pollRetryDelay(now_, connectionRefused);
     }
 
+    [[nodiscard]] batch::milliseconds pollDelayAfterEnds() const
+    {
+        return agent_.pollDelayAfterEnds(now_);
+    }
+
     template<class Output>
     [[nodiscard]] static std::size_t count(const std::vector<batch::AgentOutput> &outputs)
     {
--- a/tests/unit/batch_ends_test.cpp
+++ b/tests/unit/batch_ends_test.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(startThatMayStillBeCarriedOutOutlastsTheLeases);
     CPPUNIT_TEST(listedRunWhoseStartMayStillBeCarriedOutOutlastsTheLeases);
     CPPUNIT_TEST(restartedAgentDoesNotSettleAStartThatItsFormerProcessCalled);
+    CPPUNIT_TEST(provisionalFailureWaits);
+    CPPUNIT_TEST(provisionalSuccessCountsAtOnce);
     CPPUNIT_TEST(agentThatKnowsNoExecutorIsToldOfTheFormerOne);
     CPPUNIT_TEST(rebootedHostIsHeardAgain);
     CPPUNIT_TEST_SUITE_END();
@@ -315,6 +317,30 @@
         CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
     }
 
+    void provisionalFailureWaits()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        batch::Report &report = bench.report(*bench.executorOf(run));
+        endProvisionally(report, run, batch::EndKind::Failed);
+        bench.advanceTime(5s);
+        CPPUNIT_ASSERT(bench.cluster().runs_.at(run).hasEnded_);
+        report.starting_.clear();
+        report.ended_.front().number_ = 1;
+        bench.advanceTime(100ms);
+        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.cluster().jobs_.at(JobId("job")).progress_.tasks_[0].failedRuns_.size());
+    }
+
+    void provisionalSuccessCountsAtOnce()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        endProvisionally(bench.report(*bench.executorOf(run)), run, batch::EndKind::Done);
+        bench.advanceTime(300ms);
+        CPPUNIT_ASSERT(bench.cluster().jobs_.at(JobId("job")).progress_.state_ == batch::JobState::Completed);
+    }
+
     void agentThatKnowsNoExecutorIsToldOfTheFormerOne()
     {
         LeaderBench bench(2);
@@ -344,6 +370,14 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("job").size());
     }
+
+private:
+    static void endProvisionally(batch::Report &report, const RunId &run, batch::EndKind kind)
+    {
+        report.running_.clear();
+        report.starting_ = {run};
+        report.ended_ = {{batch::provisionalEnd, run, kind, ""}};
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchEndsTest);
--- a/tests/unit/batch_next_incarnation_test.cpp
+++ b/tests/unit/batch_next_incarnation_test.cpp
@@ -22,6 +22,8 @@
 {
     CPPUNIT_TEST_SUITE(BatchNextIncarnationTest);
     CPPUNIT_TEST(runsOutliveTheSilenceOfTheirAgentByTheLongestLeaseOfTheirExecutor);
+    CPPUNIT_TEST(taskThatIsDoneIsNotStartedAgain);
+    CPPUNIT_TEST(taskThatIsDoneIsNotStartedAgainByTheSecondNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,7 +42,47 @@
         CPPUNIT_ASSERT(cluster.state(JobId("long")) == batch::JobState::Completed);
     }
 
+    void taskThatIsDoneIsNotStartedAgain()
+    {
+        Cluster cluster(2, 1);
+        finishTasksWithLateStarts(cluster);
+        crashAll(cluster);
+        cluster.run(20s);
+        expectNoViolation(cluster);
+    }
+
+    void taskThatIsDoneIsNotStartedAgainByTheSecondNextIncarnation()
+    {
+        Cluster cluster(2, 1);
+        finishTasksWithLateStarts(cluster);
+        cluster.faults_.lateCallsAtBirth_ = false;
+        crashAll(cluster);
+        cluster.run(1s);
+        cluster.faults_.lateCallsAtBirth_ = true;
+        crashAll(cluster);
+        cluster.run(20s);
+        expectNoViolation(cluster);
+    }
+
 private:
+    static void finishTasksWithLateStarts(Cluster &cluster)
+    {
+        cluster.faults_.lateCallsAtBirth_ = true;
+        cluster.faults_.delayedOrderRate_ = 1;
+        cluster.submit(makeJob("job", 4, {1'000, 1'000, 1}, 300ms));
+        cluster.run(300ms);
+        cluster.faults_.delayedOrderRate_ = 0;
+        cluster.run(4s);
+        CPPUNIT_ASSERT(cluster.state(JobId("job")) == batch::JobState::Completed);
+    }
+
+    static void crashAll(Cluster &cluster)
+    {
+        for (std::size_t host = 0; host < 2; ++host) {
+            cluster.crashExecutor(host, 100ms, true);
+        }
+    }
+
     /// Crashes the executor of host 0, whose next incarnation carries out polls of the former one before its first heartbeat.
     static void startAgainAfterLatePolls(Cluster &cluster)
     {
