A leader remembers late starts for an agent that restarts

A new process of the agent doesn't know which calls of the former one weren't answered: it reported ends and confirmed stops of runs that the next incarnation might still start (TWICE). The leader knows what the former process had told, and how long ago it ordered a start: for such runs, it doesn't act on an end, a confirmed stop or a missing run before the last call can have been carried out, and doesn't acknowledge a success. On a silent executor, a run that may have been started late outlasts the leases by the time that a call may be late and the longest lease: a late poll may have extended it. Evidence: the three tests ...WhileAFormerProcessMayHaveStartedItsRunAgain fail without it.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -66,7 +66,7 @@
     bool inherited_ = false; ///< started by a former leader: how long it has run isn't known
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
-    Instant mayStartUntil_{}; ///< until then, a start of it that wasn't answered may be carried out, although it has been listed
+    Instant mayStartUntil_{}; ///< until then, a call of its start may be carried out, as far as this leader knows; its agent's process may know better
     bool hasEnded_ = false; ///< its executor no longer runs it, but a call of its start may still be carried out
     bool lossRecorded_ = false; ///< the loss of its executor has been recorded for it, although a start of it may still be carried out
 };
@@ -77,6 +77,7 @@
     std::int64_t number_ = 0;
     JobId job_;
     std::uint64_t version_ = 0;
+    Instant notBefore_{}; ///< the run's start may be carried out until then: it must not have ended for good before
 };
 
 struct Executor
@@ -97,6 +98,7 @@
     std::map<std::pair<JobId, std::size_t>, ResourceVector> reserved_; ///< by job and first task of the group for which work is being preempted
     std::vector<PendingEnd> pendingEnds_;
     std::int64_t acknowledged_ = 0;
+    std::optional<std::int64_t> firstIgnoredEnd_; ///< number of the first end in the last report that isn't acted on yet
     std::vector<RunId> orphans_; ///< runs that it lists without a matching record
     std::set<JobId> failedJobs_; ///< jobs with a failure here since the last successful task
     Instant failedAt_{}; ///< when a task last failed here
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -99,6 +99,9 @@
             cluster, job->second, groupOf(submission, order.run_.task_), *indexOf(submission, order.run_.task_), executor.info_.incarnation_.executor_);
     }
     const bool refused = order.outcome_ == OrderOutcome::Refused;
+    if (!refused && mayStartUnknown(cluster, found->second)) {
+        return; // the agent repeats it
+    }
     settleRun(cluster, order.run_, refused ? "refused" : "stop-confirmed", !refused);
 }
 
@@ -111,31 +114,42 @@
     for (const RunningTask &task : report.running_) {
         listed.insert(task.run_);
     }
-    // A new process of the agent doesn't know which calls of the former one weren't answered.
-    const auto agent = cluster.agents_.find(report.agent_);
-    const bool forgotStarts = isInferred(report) && agent != cluster.agents_.end() && cluster.now_ - agent->second.restartedAt_ < maxCallDelay;
     settleRuns(cluster, executor, "missing", [&](const Run &run) {
         const bool expected = run.phase_ == RunPhase::Running || run.recovered_;
-        const bool mayStartLate = forgotStarts && cluster.now_ < run.mayStartUntil_;
-        return run.placement_ == executor.info_.incarnation_ && expected && !mayStartLate && !listed.contains(run.id_);
+        return run.placement_ == executor.info_.incarnation_ && expected && !listed.contains(run.id_) && !mayStartUnknown(cluster, run);
     });
 }
 
+void noteStart(const ClusterState &cluster, Run &run)
+{
+    run.mayStartUntil_ = cluster.now_ + maxStartTime + maxCallDelay;
+}
+
 void noteLateStarts(ClusterState &cluster, const Report &report)
 {
     for (const RunningTask &task : report.running_) {
-        const auto run = cluster.runs_.find(task.run_);
-        const bool mayStart = std::find(report.starting_.begin(), report.starting_.end(), task.run_) != report.starting_.end();
-        if (!mayStart || run == cluster.runs_.end() || run->second.placement_ != report.executor_.incarnation_) {
+        const auto found = cluster.runs_.find(task.run_);
+        if (found == cluster.runs_.end() || found->second.placement_ != report.executor_.incarnation_) {
             continue;
         }
+        Run &run = found->second;
+        const bool mayStart = std::find(report.starting_.begin(), report.starting_.end(), task.run_) != report.starting_.end();
         // Runs that are listed for the first time, or are being stopped, stand in both lists as well.
-        if (run->second.phase_ == RunPhase::Running && run->second.listedAt_ < report.listedAt_) {
-            run->second.mayStartUntil_ = cluster.now_ + maxCallDelay;
+        if (mayStart && run.phase_ == RunPhase::Running && run.listedAt_ < report.listedAt_) {
+            run.mayStartUntil_ = cluster.now_ + maxCallDelay;
+        } else if (!mayStart && !mayStartUnknown(cluster, run)) {
+            run.mayStartUntil_ = Instant();
         }
     }
 }
 
+bool mayStartUnknown(const ClusterState &cluster, const Run &run)
+{
+    const auto executor = cluster.executors_.find(run.placement_.executor_);
+    const auto agent = executor == cluster.executors_.end() ? cluster.agents_.end() : cluster.agents_.find(executor->second.agent_);
+    return agent != cluster.agents_.end() && agent->second.restartedAt_ > run.startedAt_ && cluster.now_ < run.mayStartUntil_;
+}
+
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor)
 {
     if (executor.info_.hasLeft_ || executor.info_.draining_) {
@@ -199,6 +213,15 @@
     return std::max(permittedEnd, fencedBy + withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) + permitSlack);
 }
 
+/// Returns when \p run is over if nothing is heard of \p executor. Its next incarnation may start the run by a call that was given up; a further such call
+/// may extend the lease then.
+Instant leaseEnd(const ClusterState &cluster, const Executor &executor, const Run &run)
+{
+    const Instant end = leasesEnd(cluster, executor);
+    const bool mayHaveStartedLate = executor.reported_ && executor.lastReport_ < run.mayStartUntil_;
+    return mayHaveStartedLate ? end + maxCallDelay + withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) : end;
+}
+
 void expireSilentLeases(ClusterState &cluster)
 {
     if (!cluster.mayIssueOrders()) {
@@ -214,11 +237,7 @@
         if (!executor.lost_) {
             recordLoss(cluster, executor, lossOf(cluster, executor, LossKind::Unreachable));
         }
-        // The executor's next incarnation may still carry out an unanswered start, whose lease it takes as one on its own clock.
-        settleRuns(cluster, executor, "lease-over", [&cluster](const Run &run) {
-            const bool mayStartLate = run.phase_ == RunPhase::Starting && !run.recovered_ && cluster.now_ - run.startedAt_ < maxCallDelay + maxStartTime;
-            return !mayStartLate && cluster.now_ >= run.mayStartUntil_;
-        });
+        settleRuns(cluster, executor, "lease-over", [&](const Run &run) { return cluster.now_ >= leaseEnd(cluster, executor, run); });
     }
 }
 
--- a/src/core/batch/inferred_ends.h
+++ b/src/core/batch/inferred_ends.h
@@ -13,10 +13,16 @@
 /// Settles runs that are missing from the executor's lists although it would list them if they were running or had ended.
 void settleMissingRuns(ClusterState &cluster, Executor &executor, const Report &report);
 
+/// Records that the start of \p run may be ordered, called and carried out from now on.
+void noteStart(const ClusterState &cluster, Run &run);
+
 /// Records which of the runs that \p report lists have starts that may still be carried out, so that these runs may begin anew on the executor's
 /// next incarnation.
 void noteLateStarts(ClusterState &cluster, const Report &report);
 
+/// Returns whether a start of \p run may be carried out that its agent doesn't know of, because a former process of the agent has called it.
+[[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Run &run);
+
 /// Records that the incarnation of \p executor has ended, unless it announced its end or the loss of all its runs has been recorded.
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor);
 
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -282,6 +282,7 @@
             continue;
         }
         run.phase_ = RunPhase::Starting;
+        noteStart(cluster_, run);
         cluster_.scheduleDirective(cluster_.executors_.at(run.placement_.executor_));
     }
 }
@@ -293,8 +294,10 @@
         std::sort(ends.begin(), ends.end(), [](const PendingEnd &left, const PendingEnd &right) { return left.number_ < right.number_; });
         std::size_t storedCount = 0;
         while (storedCount < ends.size()) {
-            const auto job = cluster_.jobs_.find(ends[storedCount].job_);
-            if (job != cluster_.jobs_.end() && job->second.storedVersion_ < ends[storedCount].version_) {
+            const PendingEnd &end = ends[storedCount];
+            const auto job = cluster_.jobs_.find(end.job_);
+            const bool isStored = job == cluster_.jobs_.end() || job->second.storedVersion_ >= end.version_;
+            if (!isStored || cluster_.now_ < end.notBefore_ || end.number_ >= executor.firstIgnoredEnd_.value_or(end.number_ + 1)) {
                 break;
             }
             executor.acknowledged_ = ends[storedCount].number_;
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -155,6 +155,7 @@
 
 void applyEnds(ClusterState &cluster, Executor &executor, const std::vector<EndedRun> &ends)
 {
+    executor.firstIgnoredEnd_.reset();
     for (const EndedRun &end : ends) {
         if (end.number_ == provisionalEnd) {
             applyProvisionalEnd(cluster, executor, end);
@@ -167,13 +168,20 @@
         }
         const JobId job = end.run_.task_.job_;
         const auto run = cluster.runs_.find(end.run_);
+        const bool mayStart = run != cluster.runs_.end() && mayStartUnknown(cluster, run->second);
+        if (mayStart && end.kind_ != EndKind::Done) {
+            executor.firstIgnoredEnd_ = std::min(executor.firstIgnoredEnd_.value_or(end.number_), end.number_);
+            run->second.hasEnded_ = true;
+            continue; // its task is to be started again: not while its former start may be carried out
+        }
+        const Instant notBefore = mayStart ? run->second.mayStartUntil_ : Instant();
         if (run != cluster.runs_.end() && run->second.placement_ == executor.info_.incarnation_) {
             applyEnd(cluster, executor, end);
         } else {
             applyUntrackedEnd(cluster, end);
         }
         const auto found = cluster.jobs_.find(job);
-        executor.pendingEnds_.push_back({end.number_, job, found == cluster.jobs_.end() ? 0 : found->second.version_});
+        executor.pendingEnds_.push_back({end.number_, job, found == cluster.jobs_.end() ? 0 : found->second.version_, notBefore});
     }
 }
 
@@ -230,6 +238,7 @@
         executor.orphans_.clear();
         executor.pendingEnds_.clear();
         executor.acknowledged_ = 0;
+        executor.firstIgnoredEnd_.reset();
         executor.failedJobs_.clear();
         executor.failedAt_ = Instant();
         executor.succeededAt_ = Instant();
--- a/tests/unit/batch_ends_test.cpp
+++ b/tests/unit/batch_ends_test.cpp
@@ -58,6 +58,10 @@
     CPPUNIT_TEST(startThatMayStillBeCarriedOutOutlastsTheLeases);
     CPPUNIT_TEST(listedRunWhoseStartMayStillBeCarriedOutOutlastsTheLeases);
     CPPUNIT_TEST(restartedAgentDoesNotSettleAStartThatItsFormerProcessCalled);
+    CPPUNIT_TEST(failureIsNotActedOnWhileAFormerProcessMayHaveStartedItsRunAgain);
+    CPPUNIT_TEST(successIsNotAcknowledgedWhileAFormerProcessMayHaveStartedItsRunAgain);
+    CPPUNIT_TEST(stopIsNotSettledWhileAFormerProcessMayHaveStartedItsRunAgain);
+    CPPUNIT_TEST(restartOfAnAgentHoldsNoEndOfARunThatItsFormerProcessHadListed);
     CPPUNIT_TEST(provisionalFailureWaits);
     CPPUNIT_TEST(provisionalSuccessCountsAtOnce);
     CPPUNIT_TEST(agentThatKnowsNoExecutorIsToldOfTheFormerOne);
@@ -272,6 +276,7 @@
     void startThatMayStillBeCarriedOutOutlastsTheLeases()
     {
         LeaderBench bench(2);
+        bench.advanceTime(12s);
         bench.submit(makeJob("job", 1, smallDemand, 60s));
         const RunId run = bench.running("job").at(0);
         const std::size_t executor = *bench.executorOf(run);
@@ -279,25 +284,18 @@
         report.running_.clear();
         report.starting_ = {run};
         bench.advanceTime(100ms);
-        bench.setSilent(executor, true);
-        bench.advanceTime(8s);
-        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
-        bench.advanceTime(10s);
-        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        expectToOutlastLateCalls(bench, executor, run);
     }
 
     void listedRunWhoseStartMayStillBeCarriedOutOutlastsTheLeases()
     {
         LeaderBench bench(2);
+        bench.advanceTime(12s);
         const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
         const std::size_t executor = *bench.executorOf(run);
         bench.report(executor).starting_ = {run};
         bench.advanceTime(100ms);
-        bench.setSilent(executor, true);
-        bench.advanceTime(11s);
-        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
-        bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        expectToOutlastLateCalls(bench, executor, run);
     }
 
     void restartedAgentDoesNotSettleAStartThatItsFormerProcessCalled()
@@ -317,6 +315,57 @@
         CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
     }
 
+    void failureIsNotActedOnWhileAFormerProcessMayHaveStartedItsRunAgain()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        const std::size_t executor = restartAgentWithOutstandingStart(bench, run);
+        bench.endRun(run, batch::EndKind::Failed);
+        bench.advanceTime(11s);
+        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+    }
+
+    void successIsNotAcknowledgedWhileAFormerProcessMayHaveStartedItsRunAgain()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        const std::size_t executor = restartAgentWithOutstandingStart(bench, run);
+        bench.endRun(run, batch::EndKind::Done);
+        bench.advanceTime(11s);
+        CPPUNIT_ASSERT(bench.cluster().jobs_.at(JobId("job")).progress_.state_ == batch::JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+    }
+
+    void stopIsNotSettledWhileAFormerProcessMayHaveStartedItsRunAgain()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        batch::Report &report = bench.report(restartAgentWithOutstandingStart(bench, run));
+        report.running_.clear();
+        report.settled_ = {{run, batch::OrderOutcome::StopConfirmed}};
+        bench.advanceTime(11s);
+        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+    }
+
+    void restartOfAnAgentHoldsNoEndOfARunThatItsFormerProcessHadListed()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        bench.report(*bench.executorOf(run)).sequence_ = 0;
+        bench.advanceTime(100ms);
+        bench.endRun(run, batch::EndKind::Failed);
+        bench.advanceTime(100ms);
+        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+    }
+
     void provisionalFailureWaits()
     {
         LeaderBench bench(2);
@@ -372,12 +421,41 @@
     }
 
 private:
+    static ExecutorId executorName(std::size_t executor)
+    {
+        return ExecutorId("x" + std::to_string(executor));
+    }
+
     static void endProvisionally(batch::Report &report, const RunId &run, batch::EndKind kind)
     {
         report.running_.clear();
         report.starting_ = {run};
         report.ended_ = {{batch::provisionalEnd, run, kind, ""}};
     }
+
+    /// Expects that \p run is settled when \p executor has been silent for as long as the permit lasts, a call may be late, and the longest lease lasts.
+    static void expectToOutlastLateCalls(LeaderBench &bench, std::size_t executor, const RunId &run)
+    {
+        bench.setSilent(executor, true);
+        bench.advanceTime(28'500ms);
+        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+    }
+
+    /// The agent of \p run reports that a call of its start may still be carried out, and is replaced by a process that doesn't know it. Returns the index
+    /// of the executor.
+    static std::size_t restartAgentWithOutstandingStart(LeaderBench &bench, const RunId &run)
+    {
+        const std::size_t executor = *bench.executorOf(run);
+        batch::Report &report = bench.report(executor);
+        report.starting_ = {run};
+        bench.advanceTime(100ms);
+        report.sequence_ = 0;
+        report.starting_.clear();
+        bench.advanceTime(100ms);
+        return executor;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchEndsTest);
