Polls acknowledge only ends that are still listed

A poll that is held up may be carried out by the executor's next incarnation, which numbers its ends anew: its ack_cursor then reached ends that nobody had seen, so that a task that was done ran again (TWICE). Each poll carried a cursor, at all times; now only those do that have something to acknowledge. Evidence: pollsAcknowledgeOnlyListedEnds. What remains: a poll with a due acknowledgement that is held up itself, within 12 s before a crash.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -110,7 +110,8 @@
     return {polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
 }
 
-/// Returns the number up to which ends may be acknowledged: a run whose start may be carried out late must not have ended for good before.
+/// Returns the number up to which the next poll acknowledges ends, or 0 if it has none to acknowledge. A run whose start may be carried out late must not
+/// have ended for good before. A poll that is held up may reach the next incarnation, whose ends are numbered anew: so none acknowledges needlessly.
 std::int64_t AgentCore::acknowledgement() const
 {
     if (!incarnationConfirmed_) {
@@ -120,7 +121,8 @@
     for (const EndedRun &end : ended_) {
         number = orders_.mayStartLate(now_, end.run_) ? std::min(number, end.number_ - 1) : number;
     }
-    return number;
+    const bool isDue = std::any_of(ended_.begin(), ended_.end(), [number](const EndedRun &end) { return end.number_ <= number; });
+    return isDue ? number : 0;
 }
 
 /// Returns the last time at which certainly nothing ran on the executor, which isn't answering, or zero.
--- a/tests/unit/batch_outstanding_start_test.cpp
+++ b/tests/unit/batch_outstanding_start_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(startOutlastsTheSecondNextIncarnation);
     CPPUNIT_TEST(silenceOfTheNextIncarnationSettlesNothing);
     CPPUNIT_TEST(heldEndsArePolledForMoreRarely);
+    CPPUNIT_TEST(pollsAcknowledgeOnlyListedEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +174,16 @@
         CPPUNIT_ASSERT(bench.pollDelayAfterEnds() <= 50ms);
     }
 
+    void pollsAcknowledgeOnlyListedEnds()
+    {
+        OutstandingStartBench bench;
+        bench.advance(longestCallDelay);
+        bench.list({{1, otherRun, EndKind::Done, ""}});
+        bench.acknowledge(1);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.nextPoll().acknowledged_);
+        bench.list({});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.nextPoll().acknowledged_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchOutstandingStartTest);
