A permit counts from a report of the agent's own process only

Cause: the permit to extend leases grew from the time that the directive echoes. The agent now keeps what it sent, and takes nothing from an echo that isn't among it.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -207,9 +207,9 @@
         reportDue_ = true;
         pollNow(); // the poll in flight carries the previous token and may still wait for a run to end
     }
-    const Instant reportSentAt{directive.echoSentAt_};
-    if (directive.permit_) {
-        permitEnd_ = std::max(permitEnd_, reportSentAt + permitDuration);
+    const std::optional<Instant> reportSentAt = echoedReport(directive);
+    if (directive.permit_ && reportSentAt) {
+        permitEnd_ = std::max(permitEnd_, *reportSentAt + permitDuration);
     }
     if (executor_.incarnation_.executor_.empty()) {
         formerIncarnation_ = directive.incarnation_;
@@ -221,14 +221,23 @@
     for (const RunId &run : directive.stops_) {
         orders_.stop(now_, run);
     }
-    if (now_ - reportSentAt > maxStartOrderAge || reportSentAt < capacityShrankAt_) {
-        return; // the directive was delayed in transit; the leader repeats the orders that it still needs
+    if (!reportSentAt || now_ - *reportSentAt > maxStartOrderAge || *reportSentAt < capacityShrankAt_) {
+        return; // the directive was delayed in transit, or answers another process; the leader repeats the orders that it still needs
     }
     for (const StartOrder &start : directive.starts_) {
         refuseOrStart(start);
     }
 }
 
+/// Returns when this process sent the report that \p directive answers. Unset if it was sent too long ago, or by another process: that one's clock may be
+/// of another boot, so that its time means nothing here.
+std::optional<Instant> AgentCore::echoedReport(const Directive &directive) const
+{
+    const auto sent = sentReports_.find(directive.echoSequence_);
+    const bool matches = sent != sentReports_.end() && sent->second.time_since_epoch() == directive.echoSentAt_;
+    return matches ? std::optional(sent->second) : std::nullopt;
+}
+
 void AgentCore::refuseOrStart(const StartOrder &start)
 {
     const auto isRun = [&start](const RunningTask &task) { return task.run_ == start.run_; };
@@ -534,6 +543,8 @@
     report.agent_ = name_;
     report.sequence_ = ++sequence_;
     report.sentAt_ = now_.time_since_epoch();
+    std::erase_if(sentReports_, [this](const auto &sent) { return now_ - sent.second > permitDuration; });
+    sentReports_[sequence_] = now_;
     report.epoch_ = epoch_;
     report.responsive_ = failedPolls_ < failedPollsUntilUnresponsive && !isReplaced();
     report.listsValid_ = listsValid_;
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -5,6 +5,7 @@
 #include "core/batch/start_times.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -170,6 +171,7 @@
     [[nodiscard]] std::optional<ExecutorTime> leaseEnd();
     [[nodiscard]] Report report();
     void addEndsTo(Report &report) const;
+    [[nodiscard]] std::optional<Instant> echoedReport(const Directive &directive) const;
 
     std::string name_;
     HeartbeatLimits heartbeatLimits_;
@@ -206,6 +208,7 @@
     Orders orders_;
     std::int64_t acknowledged_ = 0;
     std::uint64_t sequence_ = 0;
+    std::map<std::uint64_t, Instant> sentReports_; ///< recent reports of this process by sequence number, with the time of each
     Instant reportedAt_{};
     bool reportDue_ = true;
     std::vector<AgentOutput> outputs_;
--- a/tests/batch/agent_bench.h
+++ b/tests/batch/agent_bench.h
@@ -29,7 +29,11 @@
 
     std::vector<batch::AgentOutput> step(const std::vector<batch::AgentInput> &inputs)
     {
-        return agent_.step(now_, inputs);
+        std::vector<batch::AgentOutput> outputs = std::exchange(heldOutputs_, {});
+        for (batch::AgentOutput &output : agent_.step(now_, inputs)) {
+            outputs.push_back(std::move(output));
+        }
+        return outputs;
     }
 
     void advance(Duration length)
@@ -37,11 +41,19 @@
         now_ += length;
     }
 
-    [[nodiscard]] batch::Directive directive() const
+    /// Returns a directive that answers a report of now. The next step() returns what else the agent does.
+    [[nodiscard]] batch::Directive directive()
     {
         batch::Directive directive;
+        for (batch::AgentOutput &output : agent_.step(now_, {batch::LeaderConnected{}})) {
+            if (const auto *report = std::get_if<batch::Report>(&output)) {
+                directive.echoSequence_ = report->sequence_;
+                directive.echoSentAt_ = report->sentAt_;
+            } else {
+                heldOutputs_.push_back(std::move(output));
+            }
+        }
         directive.epoch_ = 7;
-        directive.echoSentAt_ = now_.time_since_epoch();
         directive.permit_ = true;
         directive.incarnation_ = {ExecutorId("x"), 5'000, "host"};
         return directive;
@@ -119,6 +131,7 @@
 private:
     Instant now_{std::chrono::hours(1)};
     batch::AgentCore agent_{"host", 400ms};
+    std::vector<batch::AgentOutput> heldOutputs_;
 };
 
 }
--- a/tests/unit/batch_agent_test.cpp
+++ b/tests/unit/batch_agent_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(startsOfStaleDirectiveAreIgnored);
     CPPUNIT_TEST(directiveOfLowerEpochIsIgnored);
     CPPUNIT_TEST(leasesAreNotRenewedWithoutAPermit);
+    CPPUNIT_TEST(directiveThatAnswersAnotherProcessPermitsNothing);
     CPPUNIT_TEST(acknowledgementIsSentOnlyToAConfirmedIncarnation);
     CPPUNIT_TEST(newLeaderTriggersAPollWithoutAWait);
     CPPUNIT_TEST(newIncarnationIsPolledWithoutAWait);
@@ -78,6 +79,17 @@
         CPPUNIT_ASSERT(!bench.nextPoll().leaseEnd_.has_value());
     }
 
+    void directiveThatAnswersAnotherProcessPermitsNothing()
+    {
+        AgentBench bench;
+        batch::Directive directive = bench.directive();
+        directive.echoSentAt_ += 30s; // by the clock of a former boot
+        directive.starts_ = {{run, "", "", ""}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(bench.step({directive})));
+        bench.advance(6'600ms);
+        CPPUNIT_ASSERT(!bench.nextPoll().leaseEnd_.has_value());
+    }
+
     void acknowledgementIsSentOnlyToAConfirmedIncarnation()
     {
         AgentBench bench;
--- a/tests/unit/batch_late_start_test.cpp
+++ b/tests/unit/batch_late_start_test.cpp
@@ -89,6 +89,7 @@
         batch::Directive directive;
         directive.epoch_ = 7;
         directive.permit_ = true;
+        directive.echoSequence_ = 1;
         directive.echoSentAt_ = now.time_since_epoch();
         directive.incarnation_ = {ExecutorId("x"), 5'000, "host"};
         (void)agent.step(now, {directive});
