--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -215,6 +215,7 @@
     ExecutorId formerExecutor_; ///< the last one on its host, while the agent knows none
     std::uint64_t sequence_ = 0;
     Duration sentAt_{};
+    Instant heardAt_{}; ///< when its last report arrived
     bool directiveDue_ = false;
     Instant restartedAt_{}; ///< when its reports began anew
 };
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// A report arrives at most this long after a later one of the same agent, over a former connection.
+constexpr milliseconds maxReportDelay{12'000};
+
 const char *toString(EndKind kind)
 {
     switch (kind) {
@@ -302,7 +305,9 @@
     const auto agent = cluster.agents_.find(report.agent_);
     // A later incarnation shows that the host has rebooted, which sets the agent's clock back.
     const bool isLater = agent != cluster.agents_.end() && incarnation.startTimeMs_ > startTimeAtAgent(cluster, agent->second);
-    if (agent != cluster.agents_.end() && !isLater && report.sentAt_ <= agent->second.sentAt_) {
+    // So does a silence in which a report over a former connection would have arrived.
+    const bool isRebooted = agent != cluster.agents_.end() && cluster.now_ - agent->second.heardAt_ > maxReportDelay;
+    if (agent != cluster.agents_.end() && !isLater && !isRebooted && report.sentAt_ <= agent->second.sentAt_) {
         return true;
     }
     const auto executor = cluster.executors_.find(incarnation.executor_);
@@ -333,6 +338,7 @@
     }
     agent.sequence_ = report.sequence_;
     agent.sentAt_ = report.sentAt_;
+    agent.heardAt_ = cluster.now_;
     agent.executor_ = report.executor_.incarnation_.executor_;
     agent.directiveDue_ = true;
     agent.formerExecutor_ = agent.executor_.empty() ? lastExecutorOn(cluster, report.agent_) : ExecutorId();
--- a/tests/unit/batch_ends_test.cpp
+++ b/tests/unit/batch_ends_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(provisionalSuccessCountsAtOnce);
     CPPUNIT_TEST(agentThatKnowsNoExecutorIsToldOfTheFormerOne);
     CPPUNIT_TEST(rebootedHostIsHeardAgain);
+    CPPUNIT_TEST(rebootedHostWithTheFormerIncarnationIsHeardAfterASilence);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -407,9 +408,29 @@
         bench.setSilent(0, true);
         bench.advanceTime(2s);
         batch::Report report = bench.report(0);
+        report.executor_.incarnation_ = {ExecutorId("after-the-reboot"), 2, "host-0"};
+        reportAfterReboot(bench, report);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("job").size());
+    }
+
+    void rebootedHostWithTheFormerIncarnationIsHeardAfterASilence()
+    {
+        LeaderBench bench(1);
+        bench.setSilent(0, true);
+        bench.advanceTime(2s);
+        reportAfterReboot(bench, bench.report(0));
+        CPPUNIT_ASSERT(bench.cluster().agents_.at("host-0").sentAt_ > 1h);
+        bench.advanceTime(11s);
+        reportAfterReboot(bench, bench.report(0));
+        CPPUNIT_ASSERT(bench.cluster().agents_.at("host-0").sentAt_ < 1min);
+    }
+
+private:
+    /// Submits a job and lets an agent that has just started report, by the clock of another boot.
+    static void reportAfterReboot(LeaderBench &bench, batch::Report report)
+    {
         report.sequence_ = 0;
         report.sentAt_ = 30s;
-        report.executor_.incarnation_ = {ExecutorId("after-the-reboot"), 2, "host-0"};
         bench.submit(makeJob("job", 1, wholeExecutor, 60s));
         for (int beat = 0; beat < 3; ++beat) {
             ++report.sequence_;
@@ -417,10 +438,8 @@
             report.listedAt_ = report.sentAt_;
             bench.step({report, batch::LeaderLeaseRenewed{bench.cluster().now_}});
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.running("job").size());
     }
 
-private:
     static ExecutorId executorName(std::size_t executor)
     {
         return ExecutorId("x" + std::to_string(executor));
