What shows that a run has ended must be newer than its last late start

The agent judges by when the lists were requested, or since when the executor's process is gone; the leader by the age of the lists in the report. A leader that never heard of an executor waits as long as for one whose start was outstanding at the last contact.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -99,9 +99,9 @@
     return connectionRefused && orders_.mayStartLate(now) ? pollRetryDelayBeforeLateStarts : pollRetryDelayNormally;
 }
 
-milliseconds AgentCore::pollDelayAfterEnds(Instant now) const
+milliseconds AgentCore::pollDelayAfterEnds() const
 {
-    const bool areAllHeld = std::all_of(ended_.begin(), ended_.end(), [&](const EndedRun &end) { return orders_.mayStartLate(now, end.run_); });
+    const bool areAllHeld = std::all_of(ended_.begin(), ended_.end(), [this](const EndedRun &end) { return orders_.mayStartLate(listsSentAt_, end.run_); });
     return areAllHeld ? pollDelayWhileEndsAreHeld : pollDelayUntilAcknowledged;
 }
 
@@ -110,8 +110,9 @@
     return {polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
 }
 
-/// Returns the number up to which the next poll acknowledges ends, or 0 if it has none to acknowledge. A run whose start may be carried out late must not
-/// have ended for good before. A poll that is held up may reach the next incarnation, whose ends are numbered anew: so none acknowledges needlessly.
+/// Returns the number up to which the next poll acknowledges ends, or 0 if it has none to acknowledge. A run must not end for good before lists that were
+/// requested after its start could be carried out show the end. A poll that is held up may reach the next incarnation, whose ends are numbered anew: so none
+/// acknowledges needlessly.
 std::int64_t AgentCore::acknowledgement() const
 {
     if (!incarnationConfirmed_) {
@@ -119,7 +120,7 @@
     }
     std::int64_t number = acknowledged_;
     for (const EndedRun &end : ended_) {
-        number = orders_.mayStartLate(now_, end.run_) ? std::min(number, end.number_ - 1) : number;
+        number = orders_.mayStartLate(listsSentAt_, end.run_) ? std::min(number, end.number_ - 1) : number;
     }
     const bool isDue = std::any_of(ended_.begin(), ended_.end(), [number](const EndedRun &end) { return end.number_ <= number; });
     return isDue ? number : 0;
@@ -437,7 +438,7 @@
         return; // the answer to a later poll has already been processed
     }
     listsSentAt_ = answer.sentAt_;
-    const auto isHeld = [this](const EndedRun &end) { return orders_.mayStartLate(now_, end.run_); };
+    const auto isHeld = [this](const EndedRun &end) { return orders_.mayStartLate(listsSentAt_, end.run_); };
     const bool hasEnds = !std::all_of(answer.ended_.begin(), answer.ended_.end(), isHeld) || answer.ended_.size() != ended_.size();
     const bool changed = !listsValid_ || answer.running_.size() != running_.size() || hasEnds;
     listsValid_ = true;
@@ -533,7 +534,7 @@
     listedAt_ = now_.time_since_epoch();
     running_.clear();
     ended_.clear();
-    orders_.executorEnded(now_);
+    orders_.executorEnded(now_, emptyAt());
     reportDue_ = true;
 }
 
@@ -541,7 +542,7 @@
 {
     Report report;
     report.agent_ = name_;
-    sequence_ = std::max(sequence_ + 1, orders_.knowsAllCalls(now_) ? informedSequence : 0);
+    sequence_ = std::max(sequence_ + 1, orders_.knowsAllCalls(std::max(listsSentAt_, emptyAt())) ? informedSequence : 0);
     report.sequence_ = sequence_;
     report.sentAt_ = now_.time_since_epoch();
     std::erase_if(sentReports_, [this](const auto &sent) { return now_ - sent.second > permitDuration; });
@@ -565,7 +566,7 @@
 void AgentCore::addEndsTo(Report &report) const
 {
     const bool isFull = ended_.size() >= maxEndsPerList;
-    const auto isHeld = [this](const EndedRun &end) { return end.kind_ != EndKind::Done && orders_.mayStartLate(now_, end.run_); };
+    const auto isHeld = [this](const EndedRun &end) { return end.kind_ != EndKind::Done && orders_.mayStartLate(listsSentAt_, end.run_); };
     const auto firstHeld = std::find_if(ended_.begin(), ended_.end(), isHeld);
     std::copy_if(ended_.begin(), firstHeld, std::back_inserter(report.ended_), [&](const EndedRun &end) { return isFull || end.number_ > acknowledged_; });
     for (auto end = firstHeld; end != ended_.end(); ++end) {
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -24,9 +24,6 @@
     milliseconds maxGap_{2'500}; ///< longest time between two heartbeats of an executor that lives
 };
 
-/// How long the executor may wait for a run to end before it answers a poll; bounds the age of its lists.
-constexpr milliseconds pollWait{500};
-
 // Inputs
 
 struct HeartbeatReceived
@@ -136,7 +133,7 @@
     [[nodiscard]] milliseconds pollRetryDelay(Instant now, bool connectionRefused) const noexcept;
 
     /// Returns how long the polling loop waits after a poll that returned ends: the executor answers at once until they are acknowledged.
-    [[nodiscard]] milliseconds pollDelayAfterEnds(Instant now) const;
+    [[nodiscard]] milliseconds pollDelayAfterEnds() const;
 
 private:
     void handle(const Directive &directive);
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -71,6 +71,14 @@
     }
 }
 
+/// Returns up to when the lists in \p report show all that was started on the executor. If the agent has only inferred that nothing runs, a run that was
+/// started late may have lived on, by a lease that a late call extended.
+Instant evidenceTime(const ClusterState &cluster, const Report &report)
+{
+    const Instant listedAt = cluster.now_ - (report.sentAt_ - report.listedAt_) - pollWait;
+    return isInferred(report) ? listedAt - maxCallDelay - withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) : listedAt;
+}
+
 /// Settles the runs on \p executor that match \p predicate. Settling one may remove other members of its gang.
 template<class Predicate>
 void settleRuns(ClusterState &cluster, const Executor &executor, const char *reason, Predicate predicate)
@@ -86,7 +94,7 @@
 
 }
 
-void applySettledOrder(ClusterState &cluster, const Executor &executor, const SettledOrder &order)
+void applySettledOrder(ClusterState &cluster, const Executor &executor, const Report &report, const SettledOrder &order)
 {
     const auto found = cluster.runs_.find(order.run_);
     if (found == cluster.runs_.end() || found->second.placement_ != executor.info_.incarnation_) {
@@ -99,7 +107,7 @@
             cluster, job->second, groupOf(submission, order.run_.task_), *indexOf(submission, order.run_.task_), executor.info_.incarnation_.executor_);
     }
     const bool refused = order.outcome_ == OrderOutcome::Refused;
-    if (!refused && mayStartUnknown(cluster, found->second)) {
+    if (!refused && mayStartUnknown(cluster, found->second, report)) {
         return; // the agent repeats it
     }
     settleRun(cluster, order.run_, refused ? "refused" : "stop-confirmed", !refused);
@@ -116,7 +124,7 @@
     }
     settleRuns(cluster, executor, "missing", [&](const Run &run) {
         const bool expected = run.phase_ == RunPhase::Running || run.recovered_;
-        return run.placement_ == executor.info_.incarnation_ && expected && !listed.contains(run.id_) && !mayStartUnknown(cluster, run);
+        return run.placement_ == executor.info_.incarnation_ && expected && !listed.contains(run.id_) && !mayStartUnknown(cluster, run, report);
     });
 }
 
@@ -137,17 +145,17 @@
         // Runs that are listed for the first time, or are being stopped, stand in both lists as well.
         if (mayStart && run.phase_ == RunPhase::Running && run.listedAt_ < report.listedAt_) {
             run.mayStartUntil_ = cluster.now_ + maxCallDelay;
-        } else if (!mayStart && !mayStartUnknown(cluster, run)) {
+        } else if (!mayStart && !mayStartUnknown(cluster, run, report)) {
             run.mayStartUntil_ = Instant();
         }
     }
 }
 
-bool mayStartUnknown(const ClusterState &cluster, const Run &run)
+bool mayStartUnknown(const ClusterState &cluster, const Run &run, const Report &report)
 {
     const auto executor = cluster.executors_.find(run.placement_.executor_);
     const auto agent = executor == cluster.executors_.end() ? cluster.agents_.end() : cluster.agents_.find(executor->second.agent_);
-    if (agent == cluster.agents_.end() || agent->second.knowsAllCalls_ || cluster.now_ >= run.mayStartUntil_) {
+    if (agent == cluster.agents_.end() || agent->second.knowsAllCalls_ || evidenceTime(cluster, report) >= run.mayStartUntil_) {
         return false;
     }
     return run.inherited_ || agent->second.restartedAt_ > run.startedAt_;
@@ -221,7 +229,7 @@
 Instant leaseEnd(const ClusterState &cluster, const Executor &executor, const Run &run)
 {
     const Instant end = leasesEnd(cluster, executor);
-    const bool mayHaveStartedLate = executor.reported_ && executor.lastReport_ < run.mayStartUntil_;
+    const bool mayHaveStartedLate = executor.lastReport_ < run.mayStartUntil_;
     return mayHaveStartedLate ? end + maxCallDelay + withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) : end;
 }
 
--- a/src/core/batch/inferred_ends.h
+++ b/src/core/batch/inferred_ends.h
@@ -8,7 +8,7 @@
 /// and its resources be given away. Thread safety of all functions: none; one thread owns the cluster state.
 
 /// Settles the run of \p order, an order whose outcome the agent of \p executor has reported, unless it belongs to another incarnation.
-void applySettledOrder(ClusterState &cluster, const Executor &executor, const SettledOrder &order);
+void applySettledOrder(ClusterState &cluster, const Executor &executor, const Report &report, const SettledOrder &order);
 
 /// Settles runs that are missing from the executor's lists although it would list them if they were running or had ended.
 void settleMissingRuns(ClusterState &cluster, Executor &executor, const Report &report);
@@ -20,8 +20,9 @@
 /// next incarnation.
 void noteLateStarts(ClusterState &cluster, const Report &report);
 
-/// Returns whether a start of \p run may be carried out that its agent doesn't know of, because a former process of the agent has called it.
-[[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Run &run);
+/// Returns whether a start of \p run may have been carried out after the lists in \p report were made without its agent knowing of it, because a former
+/// process of the agent has called it.
+[[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Run &run, const Report &report);
 
 /// Records that the incarnation of \p executor has ended, unless it announced its end or the loss of all its runs has been recorded.
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor);
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -81,6 +81,9 @@
     return length * 50 / 49;
 }
 
+/// How long the executor may wait for a run to end before it answers a poll; bounds the age of its lists.
+constexpr milliseconds pollWait{500};
+
 /// An executor returns at most this many ends at a time.
 constexpr std::size_t maxEndsPerList = 500;
 
@@ -121,8 +124,8 @@
     }
 };
 
-/// From this sequence number on, an agent's process has run for longer than maxCallDelay: no call of a former process can be carried out any longer, so that
-/// it knows of all starts that can.
+/// From this sequence number on, the lists of an agent's process are from a time when no call of a former process could be carried out any longer, so that it
+/// knows of all starts that can.
 constexpr std::uint64_t informedSequence = std::uint64_t{1} << 32;
 
 /// An agent's report to the leader; also its heartbeat.
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -315,11 +315,11 @@
     return changed;
 }
 
-void Orders::executorEnded(Instant now)
+void Orders::executorEnded(Instant now, Instant emptyAt)
 {
     for (auto &[run, order] : orders_) {
         if (order.phase_ != Phase::Refused) {
-            enter(order, mayStartLate(order, now) ? Phase::Lost : Phase::Ended, now);
+            enter(order, mayStartLate(order, emptyAt) ? Phase::Lost : Phase::Ended, now);
         }
     }
 }
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -98,9 +98,9 @@
     /// Processes the lists of the executor. Returns whether outcomes have changed.
     [[nodiscard]] bool applyLists(Instant now, const ListedRuns &lists);
 
-    /// Records that nothing runs on the executor any longer. A start that may still be carried out, by its next incarnation under the same name,
-    /// stays open until then.
-    void executorEnded(Instant now);
+    /// Records that the incarnation which was called runs nothing any longer. A start of which a call could be carried out after \p emptyAt, when nothing
+    /// ran on any incarnation, stays open.
+    void executorEnded(Instant now, Instant emptyAt);
 
     /// Settles the starts on an executor that has ended if none of their calls could be carried out after \p emptyAt, when nothing ran on it. Returns
     /// whether outcomes have changed.
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -171,7 +171,7 @@
         }
         const JobId job = end.run_.task_.job_;
         const auto run = cluster.runs_.find(end.run_);
-        const bool mayStart = run != cluster.runs_.end() && mayStartUnknown(cluster, run->second);
+        const bool mayStart = run != cluster.runs_.end() && mayStartUnknown(cluster, run->second, report);
         if (mayStart && end.kind_ != EndKind::Done) {
             executor.firstIgnoredEnd_ = std::min(executor.firstIgnoredEnd_.value_or(end.number_), end.number_);
             run->second.hasEnded_ = true;
@@ -370,7 +370,7 @@
     updateSlowness(cluster, executor);
     applyEnds(cluster, executor, report);
     for (const SettledOrder &order : report.settled_) {
-        applySettledOrder(cluster, executor, order);
+        applySettledOrder(cluster, executor, report, order);
     }
     noteLateStarts(cluster, report);
     settleMissingRuns(cluster, executor, report);
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -176,7 +176,7 @@
     milliseconds delayAfterEnds()
     {
         const std::lock_guard lock(coreMutex_);
-        return core_.pollDelayAfterEnds(bootNow());
+        return core_.pollDelayAfterEnds();
     }
 
     PollResult pollOnce(platform::ExecutorClient &client, const batch::PollCall &call, Instant sentAt)
