--- a/tests/batch/cluster.cpp
+++ b/tests/batch/cluster.cpp
@@ -145,6 +145,12 @@
     impl_->reboot(host, downtime, sameName);
 }
 
+void Cluster::setClockBack(std::size_t host, Duration length)
+{
+    impl_->hosts_[host].clockSetBack_ += std::chrono::ceil<milliseconds>(length);
+    impl_->hosts_[host].lastStartTimeMs_ = 0;
+}
+
 void Cluster::leave(std::size_t host, Departure departure)
 {
     impl_->leave(host, departure);
--- a/tests/batch/cluster_impl.h
+++ b/tests/batch/cluster_impl.h
@@ -68,6 +68,7 @@
         milliseconds remaining_{0};
         int executorNameCount_ = 0;
         std::int64_t lastStartTimeMs_ = 0;
+        milliseconds clockSetBack_{0}; ///< of the calendar clock from which its executors take their births
         std::uint64_t agentIncarnation_ = 0; ///< incremented when the agent restarts; answers to an earlier one are dropped
         std::deque<Call> waitingCalls_; ///< until one of the agent's threads is free
         int busyThreads_ = 0;
