--- a/soak/executor_server.cpp
+++ b/soak/executor_server.cpp
@@ -61,12 +61,6 @@
     return ExecutorId(request.get_header_value("X-Expect-Instance"));
 }
 
-/// Returns the name of the run that the order with \p body is about.
-std::string runName(const Json &body)
-{
-    return body.at("task").get<std::string>() + "/" + std::to_string(body.at("run").get<std::uint32_t>());
-}
-
 batch::ResourceVector scaled(const batch::ResourceVector &capacity, double factor)
 {
     const auto scale = [factor](auto amount) { return static_cast<decltype(amount)>(static_cast<double>(amount) * factor); };
@@ -137,7 +131,6 @@
     nameCount_ += sameName ? 0 : 1;
     lastStartTimeMs_ = std::max<std::int64_t>(lastStartTimeMs_ + 100, wallTimeMs);
     heartbeatSequence_ = 0;
-    startedAt_ = soakNow();
     absent_ = false;
     leaving_ = false;
     crashesAt_.reset();
@@ -362,11 +355,6 @@
         delayed_.after(draw(shortestOrderDelay, longestOrderDelay), [this, execute, body, executor, arrivedAt] {
             const std::lock_guard delayedLock(mutex_);
             crashIfDue();
-            const bool isFormerStart = arrivedAt < startedAt_ && (startedRuns_.contains(runName(body)) || stoppedRuns_.contains(runName(body)));
-            if (isFormerStart && judge_.leavesOutFormerStarts_) {
-                ++judge_.formerStartsLeftOut_;
-                return;
-            }
             delayedSince_ = arrivedAt;
             (void)(absent_ ? test::OrderResult::OtherExecutor : execute(body, executor));
             delayedSince_.reset();
@@ -406,9 +394,6 @@
     const milliseconds runTime(std::stoll(spec));
     const bool fails = failing_;
     const auto result = executor_->start(call, soakNow(), fails ? std::min(runTime, failureDelay) : runTime, fails);
-    if (result == test::OrderResult::Accepted) {
-        startedRuns_.insert(runName(body));
-    }
     if (result == test::OrderResult::Accepted && spec.ends_with(crashingSpec) && call.order_.run_.task_.index_ == 0) {
         crashSoon();
     }
@@ -428,11 +413,7 @@
         call.incarnation_.executor_ = executor;
         call.run_ = {*platform::parseTaskName(body.at("task")), body.at("run").get<std::uint32_t>()};
         call.fencingToken_ = body.at("fence_token");
-        const auto result = executor_->stop(call, soakNow());
-        if (result == test::OrderResult::Accepted) {
-            stoppedRuns_.insert(runName(body));
-        }
-        return result;
+        return executor_->stop(call, soakNow());
     });
 }
 
--- a/soak/executor_server.h
+++ b/soak/executor_server.h
@@ -12,7 +12,6 @@
 #include <mutex>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <thread>
 
@@ -35,8 +34,6 @@
     std::mutex mutex_;
     test::Judge judge_;
     RunLives lives_; ///< has its own lock
-    std::atomic<bool> leavesOutFormerStarts_{false}; ///< starts that reach the next incarnation after their run is over aren't carried out
-    std::atomic<std::size_t> formerStartsLeftOut_{0};
 };
 
 /// Shares of the orders to an executor that meet a fault.
@@ -142,9 +139,6 @@
     std::mutex mutex_;
     std::mt19937_64 random_;
     std::unique_ptr<test::ExecutorStandIn> executor_;
-    Instant startedAt_{}; ///< of the present incarnation
-    std::set<std::string> startedRuns_; ///< runs that any incarnation has started
-    std::set<std::string> stoppedRuns_; ///< runs whose stop any incarnation has carried out
     bool absent_ = false; ///< no incarnation lives; executor_ is the last one
     bool leaving_ = false; ///< the incarnation has begun its planned end
     Instant leavesAt_{}; ///< valid if it is leaving
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,7 +1,6 @@
 #include "callers.h"
 #include "crash_counts.h"
 #include "faults.h"
-#include "support/known_red.h"
 
 #include <algorithm>
 #include <array>
@@ -40,9 +39,6 @@
 constexpr unsigned crashingJobsOneIn = 30;
 constexpr unsigned crashingJobsOneInMixed = 12;
 
-/// Name in KNOWN-RED.txt of the fault that the next incarnation of an executor carries out a start whose run has been started again or stopped since.
-constexpr const char *formerStartFault = "soak.former-start-reaches-next-incarnation";
-
 /// Adds what the logs and ends of the processes show.
 void addProcessViolations(Fleet &fleet, std::vector<std::string> &violations)
 {
@@ -71,7 +67,6 @@
     {
         const bool mixed = !options.formerProgram_.empty();
         Fleet fleet(mixed ? options.formerProgram_ : options.program_, folder, seed, options.entries_, options.executors_);
-        fleet.judge_.leavesOutFormerStarts_ = test::readKnownRed().contains(formerStartFault);
         CrashCounts crashCounts(fleet.store_, fleet.judge_.lives_);
         {
             const std::lock_guard lock(fleet.judge_.mutex_);
@@ -91,9 +86,6 @@
         std::ranges::copy(crashCounts.violations(), std::back_inserter(violations));
         addProcessViolations(fleet, violations);
         std::cout << "  " << crashCounts.counted() << " crashing jobs counted in the store\n";
-        if (const std::size_t leftOut = fleet.judge_.formerStartsLeftOut_; leftOut > 0) {
-            std::cout << "[ KNOWN RED ] " << formerStartFault << ": " << leftOut << " starts not carried out\n";
-        }
     }
     for (const std::string &job : unfinishedJobs) {
         violations.push_back("LOST: not finished in time: " + job);
