batch: a run is stalled by what its task can show, not after 2.5 s

Cause: a run was stalled after 2.5 s at most without a higher percentage. Percentages are whole numbers; that of a task of ten minutes rises every 6 s, of 12 h every seven minutes. The limit was learned from the pace only below 2.5 s. A second way to it: a long run that is listed with 0 % and then with the percentage restored from its checkpoint showed a far too fast pace.

Ruled out: the executor and the lists (the script's executor is sound and listed twice a second); isStraggler() (needs peers, three moves a job; those found in one step are moved together, so that it can be a few more).

Now: a run's limit follows from its own pace with its rounding, its peers', or else its estimate and the queue's other runs; a new checkpoint counts as progress and, after four, sets a limit of its own, since percentages are useless for long tasks. Allowed for: executors slowed 20 times, estimates off by ten. The pace of a restored run counts from its first progress. Short tasks (up to 25 s) keep the former limits, but at most twice a task; then it gets the time of a longer one, and four times as much with each further stop.

What it can't give: a sound short run that is slowed more than five times while it runs, or takes more than 200 s and 25 times what is expected, may be stopped twice; until then it looks like a hung one, which is found as soon as before.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -60,9 +60,13 @@
     std::uint64_t version_ = 0; ///< version of the job's record that must be stored before the order is sent
     Instant startedAt_{};
     std::int32_t percent_ = 0;
-    std::int32_t initialPercent_ = 0; ///< progress when it was first listed, restored from its checkpoint
+    std::int32_t initialPercent_ = 0; ///< progress from which its pace is measured: when it was first listed, restored from its checkpoint
+    Duration initialAt_{}; ///< when it was listed with initialPercent_, on the agent's clock
+    bool restoring_ = false; ///< its checkpoint may not be restored yet: its next progress may be from earlier runs
     Duration listedAt_{}; ///< when it was first listed, except while it was being stopped; on the agent's clock, so that late reports don't look like a stall
     Duration progressAt_{}; ///< when percent_ last rose, on the agent's clock
+    std::uint32_t checkpoints_ = 0; ///< new checkpoints listed since listedAt_; only counted for a task that checkpoints
+    Duration checkpointAt_{}; ///< when the last of them was listed, on the agent's clock
     bool inherited_ = false; ///< started by a former leader: how long it has run isn't known
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
@@ -135,6 +139,7 @@
     std::map<std::size_t, std::set<ExecutorId>> excludedExecutors_; ///< by task index: executors on which it failed, was refused, stalled or straggled
     std::map<std::size_t, Reservation> reservations_; ///< by first task of the group
     std::uint32_t stragglerMoves_ = 0; ///< how many stragglers have been stopped to run elsewhere
+    std::map<std::size_t, std::size_t> stalls_; ///< by first task that starts together: how many runs have been stopped as stalled
     std::map<std::size_t, Instant> waitingSince_; ///< by first task of each group that waits for executors
     std::set<std::size_t> reportedHolds_; ///< first tasks of groups whose executor holds have been logged; each is logged once
     bool cancelled_ = false; ///< also if it had failed before
--- a/src/core/batch/pace.cpp
+++ b/src/core/batch/pace.cpp
@@ -35,13 +35,21 @@
 std::optional<Duration> paceOf(const Run &run)
 {
     const std::int32_t progress = run.percent_ - run.initialPercent_;
-    const Duration elapsed = run.progressAt_ - run.listedAt_;
+    const Duration elapsed = run.progressAt_ - run.initialAt_;
     if (run.phase_ != RunPhase::Running || progress < minPacePercent || elapsed < minPaceTime) {
         return std::nullopt;
     }
     return elapsed / progress;
 }
 
+std::optional<Duration> slowestPaceOf(const Run &run)
+{
+    if (!paceOf(run)) {
+        return std::nullopt;
+    }
+    return (run.progressAt_ - run.initialAt_) / (run.percent_ - run.initialPercent_ - 1); // the first percent may have been nearly complete
+}
+
 std::optional<Duration> medianPeerPace(const ClusterState &cluster, const Run &run)
 {
     const Job &job = cluster.jobs_.at(run.id_.task_.job_);
--- a/src/core/batch/pace.h
+++ b/src/core/batch/pace.h
@@ -13,6 +13,9 @@
 /// Returns the time that \p run takes for one percent, or std::nullopt if it has progressed too little to tell.
 [[nodiscard]] std::optional<Duration> paceOf(const Run &run);
 
+/// Returns the slowest pace that fits what \p run has shown, as its percentage is rounded; std::nullopt if its pace isn't known.
+[[nodiscard]] std::optional<Duration> slowestPaceOf(const Run &run);
+
 /// Returns the median pace of the other tasks of the same step and occurrence, or std::nullopt if no pace is known.
 [[nodiscard]] std::optional<Duration> medianPeerPace(const ClusterState &cluster, const Run &run);
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -7,8 +7,10 @@
 #include "core/batch/ledger.h"
 #include "core/batch/pace.h"
 #include "core/batch/racks.h"
+#include "core/batch/stall_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotwick::batch {
 
@@ -193,9 +195,27 @@
 void resetProgress(Run &run, const RunningTask &task, Duration listedAt)
 {
     run.initialPercent_ = task.percent_;
+    run.initialAt_ = listedAt;
     run.percent_ = task.percent_;
     run.listedAt_ = listedAt;
     run.progressAt_ = listedAt;
+    run.checkpoints_ = 0;
+    run.checkpointAt_ = listedAt;
+}
+
+/// Keeps the \p checkpoint that \p run is listed with.
+void applyCheckpoint(ClusterState &cluster, Run &run, const std::string &checkpoint, Duration listedAt)
+{
+    Job &job = cluster.jobs_.at(run.id_.task_.job_);
+    std::string &kept = job.progress_.tasks_[*indexOf(job.submission_, run.id_.task_)].checkpoint_;
+    if (checkpoint.empty() || checkpoint == kept) {
+        return;
+    }
+    kept = checkpoint;
+    if (job.submission_.steps_[run.id_.task_.step_].checkpointable_) {
+        ++run.checkpoints_;
+        run.checkpointAt_ = listedAt;
+    }
 }
 
 void applyRunningTask(ClusterState &cluster, Executor &executor, const RunningTask &task)
@@ -213,19 +233,22 @@
     if (run.phase_ == RunPhase::Committing || run.phase_ == RunPhase::Starting) {
         run.phase_ = RunPhase::Running;
         resetProgress(run, task, executor.listedAt_);
+        const Job &job = cluster.jobs_.at(run.id_.task_.job_);
+        run.restoring_ = task.percent_ == 0 && !job.progress_.tasks_[*indexOf(job.submission_, run.id_.task_)].checkpoint_.empty();
     }
-    if (executor.listedAt_ < run.progressAt_) {
+    if (executor.listedAt_ < lastProgressOf(run)) {
         resetProgress(run, task, executor.listedAt_); // the agent's clock went back because its host has rebooted
     }
     if (task.percent_ > run.percent_) {
         run.percent_ = task.percent_;
         run.progressAt_ = executor.listedAt_;
+        if (std::exchange(run.restoring_, false)) {
+            run.initialPercent_ = task.percent_;
+            run.initialAt_ = executor.listedAt_;
+        }
     }
     clearSurvivor(cluster, executor, run);
-    if (!task.checkpoint_.empty()) {
-        Job &job = cluster.jobs_.at(task.run_.task_.job_);
-        job.progress_.tasks_[*indexOf(job.submission_, task.run_.task_)].checkpoint_ = task.checkpoint_;
-    }
+    applyCheckpoint(cluster, run, task.checkpoint_, executor.listedAt_);
 }
 
 /// Updates the reporting executor's record from \p report and returns it. Resets the state of earlier incarnations.
--- a/src/core/batch/stalls.cpp
+++ b/src/core/batch/stalls.cpp
@@ -3,6 +3,7 @@
 #include "core/batch/health.h"
 #include "core/batch/pace.h"
 #include "core/batch/runs.h"
+#include "core/batch/stall_limits.h"
 
 #include <algorithm>
 #include <optional>
@@ -11,13 +12,6 @@
 
 namespace {
 
-/// A run without progress for this long is stalled. Its percentage rises every 0.3 s even when it is slowed threefold.
-constexpr milliseconds maxStallTime{2'500};
-
-/// Where the pace is known, a run is stalled after no progress for the usual time of this many percent, but not before minStallTime.
-constexpr int stallPercent = 10;
-constexpr milliseconds minStallTime{1'000};
-
 /// A run can't be a straggler before it has run for this long.
 constexpr milliseconds minStragglerTime{1'500};
 
@@ -60,20 +54,14 @@
 /// Returns whether \p run has made no progress for too long.
 bool isStalled(const ClusterState &cluster, const Run &run, const Executor &executor)
 {
-    const Duration sinceProgress = executor.listedAt_ - run.progressAt_;
-    if (sinceProgress <= minStallTime) {
-        return false;
-    }
-    const auto ownPace = paceOf(run);
-    const auto pace = ownPace ? ownPace : medianPeerPace(cluster, run);
-    const Duration limit = pace ? std::clamp<Duration>(*pace * stallPercent, minStallTime, maxStallTime) : Duration(maxStallTime);
-    return sinceProgress > limit;
+    const Duration sinceProgress = executor.listedAt_ - lastProgressOf(run);
+    return sinceProgress > minStallTime && sinceProgress > stallLimit(cluster, run);
 }
 
 /// Returns whether \p run is a straggler that should be restarted elsewhere.
 bool isStraggler(const ClusterState &cluster, const Run &run, const Executor &executor)
 {
-    const Duration elapsed = executor.listedAt_ - run.listedAt_;
+    const Duration elapsed = executor.listedAt_ - run.initialAt_;
     if (elapsed <= minStragglerTime || cluster.jobs_.at(run.id_.task_.job_).stragglerMoves_ >= maxStragglerMovesPerJob) {
         return false;
     }
@@ -121,6 +109,9 @@
     excludeExecutor(cluster, job, groupOf(job.submission_, run.id_.task_), *indexOf(job.submission_, run.id_.task_), run.placement_.executor_);
     quarantine(cluster, cluster.executors_.at(run.placement_.executor_), toString(reason));
     job.stragglerMoves_ += reason == StuckReason::Straggling ? 1 : 0;
+    if (reason == StuckReason::Stalled) {
+        noteStall(cluster, run);
+    }
 }
 
 }
--- a/tests/unit/batch_stall_test.cpp
+++ b/tests/unit/batch_stall_test.cpp
@@ -16,6 +16,14 @@
     CPPUNIT_TEST(stragglerIsRelocated);
     CPPUNIT_TEST(slightlySlowerMemberIsNotRelocated);
     CPPUNIT_TEST(stragglerNearItsEndIsNotRelocated);
+    CPPUNIT_TEST(firstPercentOfALongTaskIsAwaited);
+    CPPUNIT_TEST(longTaskIsNotTakenForStalledBetweenPercents);
+    CPPUNIT_TEST(hungLongTaskIsRelocated);
+    CPPUNIT_TEST(hungLongTaskIsFoundByItsCheckpoints);
+    CPPUNIT_TEST(newCheckpointIsProgress);
+    CPPUNIT_TEST(progressRestoredLateIsNotTakenForPace);
+    CPPUNIT_TEST(taskThatIsLongerThanItShowsIsNotStoppedForEver);
+    CPPUNIT_TEST(taskWithoutAnEstimateIsNotStoppedForEver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,7 +131,122 @@
         CPPUNIT_ASSERT(!bench.wasStopped("gang"));
     }
 
+    void firstPercentOfALongTaskIsAwaited()
+    {
+        LeaderBench bench(2);
+        begin(bench, "long", 600s);
+        bench.advanceTime(120s); // on an executor that is slowed 20 times
+        CPPUNIT_ASSERT(!bench.wasStopped("long"));
+    }
+
+    void longTaskIsNotTakenForStalledBetweenPercents()
+    {
+        LeaderBench bench(2);
+        const RunId run = begin(bench, "long", 600s);
+        progressSlowly(bench, run, 5, 6s);
+        bench.advanceTime(100s); // its executor turns slow
+        CPPUNIT_ASSERT(!bench.wasStopped("long"));
+    }
+
+    void hungLongTaskIsRelocated()
+    {
+        LeaderBench bench(2);
+        const RunId run = begin(bench, "hung", 600s);
+        progressSlowly(bench, run, 5, 6s);
+        bench.advanceTime(200s); // 25 times the slowest pace that five percent in 30 s leave possible, and a second
+        CPPUNIT_ASSERT(bench.wasStopped("hung"));
+    }
+
+    void hungLongTaskIsFoundByItsCheckpoints()
+    {
+        LeaderBench bench(2);
+        batch::Submission job = makeJob("checkpointing", 1, wholeExecutor, 12h);
+        job.steps_[0].checkpointable_ = true;
+        const RunId run = bench.submitAndStart(job).front();
+        saveCheckpoints(bench, run, 20);
+        bench.advanceTime(20s); // its executor turns slow
+        CPPUNIT_ASSERT(!bench.wasStopped("checkpointing"));
+        bench.advanceTime(10s);
+        CPPUNIT_ASSERT(bench.wasStopped("checkpointing"));
+    }
+
+    void newCheckpointIsProgress()
+    {
+        LeaderBench bench(2);
+        batch::Submission job = makeJob("checkpointing", 1, wholeExecutor, 10s);
+        job.steps_[0].checkpointable_ = true;
+        saveCheckpoints(bench, bench.submitAndStart(job).front(), 30);
+        CPPUNIT_ASSERT(!bench.wasStopped("checkpointing"));
+    }
+
+    void progressRestoredLateIsNotTakenForPace()
+    {
+        LeaderBench bench(3);
+        batch::Submission job = makeJob("restored", 1, wholeExecutor, 3'600s);
+        job.steps_[0].checkpointable_ = true;
+        const RunId former = bench.submitAndStart(job).front();
+        saveCheckpoints(bench, former, 1);
+        bench.endRun(former, batch::EndKind::Failed);
+        bench.advanceTime(400ms);
+        const RunId run = bench.running("restored").at(0);
+        CPPUNIT_ASSERT(run.run_ > former.run_);
+        bench.advanceTime(600ms);
+        bench.setPercent(run, 40);
+        bench.advanceTime(36s);
+        CPPUNIT_ASSERT(!bench.wasStopped("restored"));
+    }
+
+    void taskThatIsLongerThanItShowsIsNotStoppedForEver()
+    {
+        LeaderBench bench(6);
+        begin(bench, "longer", 10s);
+        CPPUNIT_ASSERT(lastRunAfter(bench, "longer", 60s, 19s) <= 3); // ten times the estimate, and slowed 20 times
+    }
+
+    void taskWithoutAnEstimateIsNotStoppedForEver()
+    {
+        LeaderBench bench(6);
+        begin(bench, "unknown", 0s);
+        CPPUNIT_ASSERT(lastRunAfter(bench, "unknown", 150s, 36s) <= 6); // an hour
+    }
+
 private:
+    /// Lets \p run progress by one percent every \p pace, \p count times.
+    static void progressSlowly(LeaderBench &bench, const RunId &run, std::int32_t count, Duration pace)
+    {
+        for (std::int32_t percent = 1; percent <= count; ++percent) {
+            bench.advanceTime(pace);
+            bench.setPercent(run, percent);
+        }
+        bench.advanceTime(100ms);
+    }
+
+    /// Lets \p run save a new checkpoint every second, \p count times.
+    static void saveCheckpoints(LeaderBench &bench, const RunId &run, int count)
+    {
+        batch::Report &report = bench.report(bench.executorOf(run).value());
+        for (int checkpoint = 1; checkpoint <= count && !report.running_.empty(); ++checkpoint) {
+            report.running_.front().checkpoint_ = std::to_string(checkpoint);
+            bench.advanceTime(1s);
+        }
+    }
+
+    /// Lets each run of the job's task progress by one percent every \p pace for \p duration; returns the number of the last run.
+    static std::uint32_t lastRunAfter(LeaderBench &bench, const std::string &job, Duration duration, Duration pace)
+    {
+        std::uint32_t last = 0;
+        Duration sinceStart{0};
+        for (Duration elapsed{0}; elapsed < duration; elapsed += 100ms) {
+            bench.advanceTime(100ms);
+            sinceStart += 100ms;
+            for (const RunId &run : bench.running(job)) {
+                sinceStart = std::exchange(last, run.run_) == run.run_ ? sinceStart : Duration(0);
+                bench.setPercent(run, static_cast<std::int32_t>(sinceStart / pace));
+            }
+        }
+        return last;
+    }
+
     static RunId begin(LeaderBench &bench, const std::string &job, milliseconds estimate)
     {
         return bench.submitAndStart(makeJob(job, 1, wholeExecutor, estimate)).front();
