node: a record that the store doesn't take holds up no other job

Cause: the store's 400 was read as an unreadable reply (BadReply), so the leader took it as no answer, waited 150 ms (for all commits) and wrote the same transaction again, with the records of up to five other jobs in it, for ever.

Now StoreErrc::Rejected tells that the store takes no such write (400, 413; the leader's host also says so of a value above platform.value_bytes, as a store may refuse that in another way). CommitRejected splits the commit: each of its jobs is written by itself. One that is rejected alone is named (record-rejected, counted in decisions_total), its starts that weren't stored are withdrawn, it isn't written again before it changes, nothing more of it is placed for 10 s, and it holds up neither a handover nor, once it has ended, its removal. A record no longer keeps where tasks ran that aren't assigned, nor checkpoints and failed runs of tasks that are done: else a withdrawn start would leave the record as large as it was.

Ruled out: naming the culprit by its size alone (the store may reject for other reasons); a new format (the release before reads these records).

--- a/include/bergamotwick/error.h
+++ b/include/bergamotwick/error.h
@@ -50,6 +50,7 @@
     Ambiguous, ///< the call may have taken effect; the caller has to read the data back to find out
     RateLimited,
     BadReply,
+    Rejected, ///< the store rejects what the call contains; it had no effect, and repeating it without a change has none either
 };
 
 struct StoreError
--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -246,6 +246,12 @@
 
 StoreStandIn::Reply StoreStandIn::transact(const Json &body)
 {
+    for (const Json &row : body.value("puts", Json::array())) {
+        const auto bytes = platform::fromBase64(row.at("value").get_ref<const std::string &>());
+        if (!bytes || bytes->size() > maxValueBytes) {
+            return {400, Json::object(), false};
+        }
+    }
     const std::lock_guard lock(mutex_);
     Json current = Json::array();
     bool preconditionsMet = true;
--- a/soak/store_stand_in.h
+++ b/soak/store_stand_in.h
@@ -20,6 +20,9 @@
 
 using std::chrono::milliseconds;
 
+/// Largest value that the store takes.
+constexpr std::size_t maxValueBytes = 1'048'576;
+
 /// The faults that the store injects.
 struct StoreFaults
 {
--- a/src/config/names.cpp
+++ b/src/config/names.cpp
@@ -35,7 +35,7 @@
 
 const char *toString(StoreErrc code) noexcept
 {
-    constexpr const char *words[] = {"unavailable", "ambiguous", "rate_limited", "bad_reply"};
+    constexpr const char *words[] = {"unavailable", "ambiguous", "rate_limited", "bad_reply", "rejected"};
     return words[static_cast<std::size_t>(code)];
 }
 
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -22,6 +22,7 @@
     milliseconds maxLeaseDuration_ = defaultMaxLeaseDuration; ///< executors shorten longer leases to this
     milliseconds reclaimLimit_{2'900}; ///< maximum time from a guaranteed job's acceptance to the start of its first step
     milliseconds statusRetention_{120'000};
+    std::size_t maxRecordBytes_ = 1'048'576; ///< largest value that the store takes
     double spreadFactor_ = 3.0; ///< slowdown of a task that runs away from its data or whose gang is spread over racks
 };
 
@@ -129,6 +130,8 @@
     std::int64_t revision_ = 0; ///< revision of the stored progress; 0 if none is stored
     std::uint64_t version_ = 0; ///< incremented with each change of progress_
     std::uint64_t storedVersion_ = 0;
+    std::optional<std::uint64_t> rejectedVersion_; ///< version that the store has rejected, until a later one is stored; nothing is placed meanwhile
+    Instant mayPlaceFrom_{}; ///< not before, as the record that a rejection followed would only grow as large again
     Instant acceptedAt_{};
     std::int32_t priority_ = 0;
     bool guaranteed_ = false; ///< its work fits its workspace's guarantee; set by updateGuarantees()
@@ -154,6 +157,12 @@
         return version_ > storedVersion_;
     }
 
+    /// Returns whether the record is to be written: it has changed since it was last stored, and since the store last rejected it.
+    [[nodiscard]] bool needsWrite() const noexcept
+    {
+        return hasUnstoredChanges() && rejectedVersion_ != version_;
+    }
+
     void markChanged() noexcept
     {
         ++version_;
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -1,10 +1,12 @@
 #include "core/batch/leader.h"
 
 #include "core/batch/advising.h"
+#include "core/batch/codec.h"
 #include "core/batch/crashes.h"
 #include "core/batch/inferred_ends.h"
 #include "core/batch/ledger.h"
 #include "core/batch/placing.h"
+#include "core/batch/record.h"
 #include "core/batch/runs.h"
 #include "core/batch/stalls.h"
 
@@ -21,6 +23,9 @@
 /// Delay before the next commit after a failed one for which no revisions were returned, for example because the store did not answer.
 constexpr milliseconds commitRetryDelay{150};
 
+/// Time after a rejection in which nothing more of the job is placed.
+constexpr milliseconds placementPauseAfterRejection{10'000};
+
 /// Additional time for which a job's records are kept after callers can no longer query them.
 constexpr milliseconds removalSlack{5'000};
 
@@ -78,7 +83,7 @@
 
 bool Leader::isFullyCommitted() const
 {
-    return inFlight_.empty() && std::none_of(cluster_.jobs_.begin(), cluster_.jobs_.end(), [](const auto &entry) { return entry.second.hasUnstoredChanges(); });
+    return inFlight_.empty() && std::none_of(cluster_.jobs_.begin(), cluster_.jobs_.end(), [](const auto &entry) { return entry.second.needsWrite(); });
 }
 
 void Leader::handle(JobStored &&input)
@@ -232,18 +237,73 @@
         const auto job = cluster_.jobs_.find(id);
         if (job != cluster_.jobs_.end()) {
             job->second.storedVersion_ = version;
+            job->second.rejectedVersion_.reset();
             job->second.revision_ = input.revision_;
         }
+        writtenAlone_.erase(id);
     }
     for (const JobId &id : commit->removals_) {
-        cluster_.jobs_.erase(id);
-        cluster_.jobsWithCrashes_.erase(id);
-        std::erase_if(cluster_.advice_, [&id](const auto &entry) { return entry.first.job_ == id; });
+        forget(id);
     }
     inFlight_.erase(commit);
     startCommittedRuns();
 }
 
+void Leader::forget(const JobId &id)
+{
+    cluster_.jobs_.erase(id);
+    cluster_.jobsWithCrashes_.erase(id);
+    std::erase_if(cluster_.advice_, [&id](const auto &entry) { return entry.first.job_ == id; });
+    writtenAlone_.erase(id);
+}
+
+void Leader::handle(const CommitRejected &input)
+{
+    const auto found = std::find_if(inFlight_.begin(), inFlight_.end(), [&input](const auto &candidate) { return candidate.commit_ == input.commit_; });
+    if (found == inFlight_.end()) {
+        return;
+    }
+    const InFlightCommit commit = std::move(*found);
+    inFlight_.erase(found);
+    if (commit.versions_.size() + commit.removals_.size() > 1) {
+        cluster_.logEvent("commit-split", {{"commit", std::to_string(commit.commit_)}});
+        for (const auto &[id, version] : commit.versions_) {
+            writtenAlone_.insert(id);
+        }
+        writtenAlone_.insert(commit.removals_.begin(), commit.removals_.end());
+        return;
+    }
+    for (const auto &[id, version] : commit.versions_) {
+        recordRejection(id, version);
+    }
+    for (const JobId &id : commit.removals_) {
+        cluster_.logEvent("removal-rejected", {{"job", id.str()}});
+        forget(id); // the next leader finds its records and tries again
+    }
+}
+
+void Leader::recordRejection(const JobId &id, std::uint64_t version)
+{
+    Job &job = cluster_.jobs_.at(id);
+    job.rejectedVersion_ = version;
+    job.mayPlaceFrom_ = cluster_.now_ + placementPauseAfterRejection;
+    cluster_.logEvent("record-rejected",
+                      {{"job", id.str()},
+                       {"workspace", job.submission_.workspace_.str()},
+                       {"tasks", std::to_string(job.progress_.tasks_.size())},
+                       {"bytes", std::to_string(encode(recordOf(job.progress_)).size())},
+                       {"limit", std::to_string(cluster_.limits_.maxRecordBytes_)}});
+    std::vector<RunId> unstored;
+    for (auto run = cluster_.runs_.lower_bound(RunId{{id, 0, 0, 0}, 0}); run != cluster_.runs_.end() && run->first.task_.job_ == id; ++run) {
+        if (run->second.phase_ == RunPhase::Committing) {
+            unstored.push_back(run->first);
+        }
+    }
+    for (const RunId &run : unstored) {
+        stopRun(cluster_, run, "record-rejected"); // others may have what they occupy
+    }
+}
+
 void Leader::handle(const CommitFailed &input)
 {
     if (std::erase_if(inFlight_, [&input](const auto &candidate) { return candidate.commit_ == input.commit_; }) == 0) {
@@ -316,8 +376,7 @@
     for (auto &[id, job] : cluster_.jobs_) {
         const bool expired = isFinal(job.progress_.state_) && cluster_.calendar_ > job.progress_.endedAt_ + cluster_.limits_.statusRetention_ + removalSlack;
         const auto &tasks = job.progress_.tasks_;
-        job.removing_
-            = expired && !job.hasUnstoredChanges() && std::none_of(tasks.begin(), tasks.end(), [](const TaskProgress &task) { return task.assigned_; });
+        job.removing_ = expired && !job.needsWrite() && std::none_of(tasks.begin(), tasks.end(), [](const TaskProgress &task) { return task.assigned_; });
     }
 }
 
@@ -333,12 +392,29 @@
     return jobs;
 }
 
+std::vector<JobId> Leader::jobsToWrite() const
+{
+    const std::set<JobId> busy = jobsInFlight();
+    std::vector<JobId> jobs;
+    for (const auto &[id, job] : cluster_.jobs_) {
+        if ((!job.needsWrite() && !job.removing_) || busy.contains(id)) {
+            continue;
+        }
+        if (writtenAlone_.contains(id)) {
+            return {id};
+        }
+        if (jobs.size() < maxWritesPerCommit) {
+            jobs.push_back(id);
+        }
+    }
+    return jobs;
+}
+
 void Leader::commit(std::vector<LeaderOutput> &outputs)
 {
     if (inFlight_.size() == maxCommitsInFlight || cluster_.now_ < retryAt_) {
         return;
     }
-    const std::set<JobId> busy = jobsInFlight();
     Commit commit;
     InFlightCommit inFlight;
     while (!orphanedHistories_.empty() && commit.writes_.size() < maxWritesPerCommit) {
@@ -346,19 +422,14 @@
         orphanedHistories_.pop_back();
         commit.writes_.push_back({id, 0, {}, true, CrashHistory{id, {}}});
     }
-    for (auto &[id, job] : cluster_.jobs_) {
-        if (commit.writes_.size() == maxWritesPerCommit) {
-            break;
-        }
-        if ((!job.hasUnstoredChanges() && !job.removing_) || busy.contains(id)) {
-            continue;
-        }
-        if (job.hasUnstoredChanges()) {
-            inFlight.versions_.emplace_back(id, job.version_);
-        } else {
+    for (const JobId &id : commit.writes_.empty() ? jobsToWrite() : std::vector<JobId>()) {
+        Job &job = cluster_.jobs_.at(id);
+        if (job.removing_) {
             inFlight.removals_.push_back(id);
+        } else {
+            inFlight.versions_.emplace_back(id, job.version_);
         }
-        commit.writes_.push_back({id, job.revision_, job.progress_, !job.hasUnstoredChanges(), crashHistoryToStore(job)});
+        commit.writes_.push_back({id, job.revision_, recordOf(job.progress_), job.removing_, crashHistoryToStore(job)});
         job.crashesStored_ = job.crashesStored_ || !job.crashes_.empty();
     }
     if (commit.writes_.empty()) {
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -65,6 +65,12 @@
     std::vector<std::pair<JobId, std::int64_t>> foundRevisions_; ///< revisions of the progress keys; 0 for absent keys
 };
 
+/// The store rejects what the commit contains: it had no effect, and repeating it without a change has none either.
+struct CommitRejected
+{
+    std::uint64_t commit_ = 0;
+};
+
 /// An answer of the placement policy; an empty \p asked_ means that it did not answer.
 struct AdviceReceived
 {
@@ -84,6 +90,7 @@
                                  LeaderLeaseRenewed,
                                  CommitDone,
                                  CommitFailed,
+                                 CommitRejected,
                                  Report>;
 
 // Outputs
@@ -136,7 +143,8 @@
     /// while this leader may have been replaced, as the store may then be ahead of it.
     [[nodiscard]] std::optional<WaitingJobs> waitingJobs() const;
 
-    /// Returns whether all changes are stored and no commit is in flight, so that leadership can be handed over without loss.
+    /// Returns whether all changes are stored, but for records that the store rejects, and no commit is in flight, so that leadership can be handed
+    /// over without loss.
     [[nodiscard]] bool isFullyCommitted() const;
 
     [[nodiscard]] const ClusterState &cluster() const noexcept
@@ -154,6 +162,7 @@
     void handle(const LeaderLeaseRenewed &input);
     void handle(const CommitDone &input);
     void handle(const CommitFailed &input);
+    void handle(const CommitRejected &input);
     void handle(const Report &input);
     void handle(const AdviceReceived &input);
 
@@ -161,6 +170,8 @@
     void startCommittedRuns();
     void acknowledgeEnds();
     void markExpiredJobs();
+    void forget(const JobId &id);
+    void recordRejection(const JobId &id, std::uint64_t version);
     void commit(std::vector<LeaderOutput> &outputs);
     void sendDirectives(std::vector<LeaderOutput> &outputs);
     [[nodiscard]] Directive directiveFor(const Agent &agent) const;
@@ -168,6 +179,9 @@
     /// Returns the jobs that commits in flight write.
     [[nodiscard]] std::set<JobId> jobsInFlight() const;
 
+    /// Returns the jobs that the next commit writes: one of writtenAlone_, or others together.
+    [[nodiscard]] std::vector<JobId> jobsToWrite() const;
+
     /// A commit that the store hasn't answered yet.
     struct InFlightCommit
     {
@@ -179,6 +193,7 @@
     ClusterState cluster_;
     std::set<JobId> cancelled_; ///< cancellations received before their job
     std::vector<JobId> orphanedHistories_; ///< stored crash histories to delete: a release that doesn't know them has removed their jobs
+    std::set<JobId> writtenAlone_; ///< jobs of a rejected commit: until it is stored, each is written by itself, so that the cause holds up no other
     std::vector<InFlightCommit> inFlight_; ///< at most maxCommitsInFlight; no two write the same job
     std::uint64_t lastCommit_ = 0;
     Instant retryAt_{};
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -84,6 +84,9 @@
 /// How long the executor may wait for a run to end before it answers a poll; bounds the age of its lists.
 constexpr milliseconds pollWait{500};
 
+/// Maximum size of an encoded report or directive.
+constexpr std::size_t maxAgentFrameBytes = std::size_t{4} * 1024 * 1024;
+
 /// An executor returns at most this many ends at a time.
 constexpr std::size_t maxEndsPerList = 500;
 
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -92,7 +92,7 @@
 {
     std::vector<std::pair<Urgency, WaitingGroup>> found;
     for (auto &[id, job] : cluster.jobs_) {
-        if (isFinal(job.progress_.state_)) {
+        if (isFinal(job.progress_.state_) || job.rejectedVersion_ || cluster.now_ < job.mayPlaceFrom_) {
             continue;
         }
         const std::vector<Group> groups = groupsOf(job.submission_);
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -284,7 +284,7 @@
             leaderAddress_ = address;
         }
         inputs_.put(batch::LeaderConnected());
-        for (auto frame = readFrame(*socket, maxAgentFrameBytes); frame; frame = readFrame(*socket, maxAgentFrameBytes)) {
+        for (auto frame = readFrame(*socket, batch::maxAgentFrameBytes); frame; frame = readFrame(*socket, batch::maxAgentFrameBytes)) {
             leaf::try_handle_all(
                 [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(directive, batch::decodeDirective(*frame));
--- a/src/node/agent_link.cpp
+++ b/src/node/agent_link.cpp
@@ -59,7 +59,7 @@
 void AgentListener::serve(const std::shared_ptr<Socket> &socket)
 {
     std::string name;
-    for (auto frame = readFrame(*socket, maxAgentFrameBytes); frame && leading_; frame = readFrame(*socket, maxAgentFrameBytes)) {
+    for (auto frame = readFrame(*socket, batch::maxAgentFrameBytes); frame && leading_; frame = readFrame(*socket, batch::maxAgentFrameBytes)) {
         leaf::try_handle_all(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(report, batch::decodeReport(*frame));
--- a/src/node/agent_link.h
+++ b/src/node/agent_link.h
@@ -12,9 +12,6 @@
 
 namespace bergamotwick::node {
 
-/// Maximum size of a report or directive.
-constexpr std::size_t maxAgentFrameBytes = std::size_t{4} * 1024 * 1024;
-
 /// Accepts the connections of agents on an entry.
 ///
 /// Thread safety: all methods may be called from several threads at once.
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -38,6 +38,7 @@
     limits.maxLeaseDuration_ = settings.maxLeaseDuration_;
     limits.reclaimLimit_ = settings.reclaimLimit_;
     limits.statusRetention_ = settings.statusRetention_;
+    limits.maxRecordBytes_ = settings.maxValueBytes_;
     limits.spreadFactor_ = settings.spreadFactor_;
     return limits;
 }
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -308,12 +308,23 @@
         return transaction;
     }
 
+    [[nodiscard]] bool isAnyTooLarge(const platform::Transaction &transaction) const
+    {
+        return std::any_of(transaction.puts_.begin(), transaction.puts_.end(), [this](const platform::Put &put) {
+            return put.value_.size() > owner_.limits_.maxRecordBytes_;
+        });
+    }
+
     void writeCommit(const batch::Commit &commit)
     {
         const Instant startedAt = bootNow();
         batch::LeaderInput answer = leaf::try_handle_all(
             [&]() -> Result<batch::LeaderInput> {
-                BOOST_LEAF_AUTO(result, owner_.store_.apply(makeTransaction(commit), commitTimeout));
+                const platform::Transaction transaction = makeTransaction(commit);
+                if (isAnyTooLarge(transaction)) {
+                    return leaf::new_error(StoreError{StoreErrc::Rejected}); // the store may refuse it in a way that looks like a lost answer
+                }
+                BOOST_LEAF_AUTO(result, owner_.store_.apply(transaction, commitTimeout));
                 if (result.applied_) {
                     return batch::LeaderInput(batch::CommitDone{commit.commit_, result.revision_});
                 }
@@ -321,6 +332,9 @@
             },
             [&](const StoreError &error) {
                 logEvent(LogLevel::Warning, "commit-failed", {{"commit", commit.commit_}, {"error", toString(error.code_)}});
+                if (error.code_ == StoreErrc::Rejected) {
+                    return batch::LeaderInput(batch::CommitRejected{commit.commit_});
+                }
                 return batch::LeaderInput(batch::CommitFailed{commit.commit_, {}});
             },
             [&] {
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "batch/cluster.h"
+#include "core/batch/codec.h"
 #include "core/batch/crashes.h"
 #include "core/batch/leader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -114,15 +116,42 @@
     {
         for (batch::LeaderOutput &output : leader_.step(now_, calendar(), std::move(inputs))) {
             if (const auto *commit = std::get_if<batch::Commit>(&output)) {
-                storeIsSlow_ ? pendingCommits_.push_back(*commit) : step({batch::CommitDone{commit->commit_, ++revision_}});
+                storeIsSlow_ ? pendingCommits_.push_back(*commit) : write(*commit);
             } else if (const auto *request = std::get_if<batch::AdviceRequest>(&output)) {
                 adviceRequests_.push_back(*request);
             } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
                 carryOut(*directive);
+            } else if (const auto *event = std::get_if<batch::LogEvent>(&output)) {
+                logEvents_.push_back(*event);
             }
         }
     }
 
+    /// Returns the log events named \p event so far.
+    [[nodiscard]] std::vector<batch::LogEvent> logged(const std::string &event) const
+    {
+        std::vector<batch::LogEvent> found;
+        std::copy_if(logEvents_.begin(), logEvents_.end(), std::back_inserter(found), [&event](const batch::LogEvent &other) { return other.event_ == event; });
+        return found;
+    }
+
+    /// Returns the encoded size of the largest directive so far.
+    [[nodiscard]] std::size_t largestDirective() const noexcept
+    {
+        return largestDirective_;
+    }
+
+    /// Returns the jobs in each commit that the store has rejected since \p maxRecordBytes_ was set.
+    [[nodiscard]] const std::vector<std::set<std::string>> &rejectedCommits() const noexcept
+    {
+        return rejectedCommits_;
+    }
+
+    [[nodiscard]] bool isFullyCommitted() const
+    {
+        return leader_.isFullyCommitted();
+    }
+
     /// Submits \p job as accepted \p age ago.
     void submit(batch::Submission job, milliseconds age = milliseconds(0))
     {
@@ -308,9 +337,31 @@
         return batch::CalendarTime(std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()));
     }
 
+    /// Stores \p commit at once, or rejects it if one of its records is too large.
+    void write(const batch::Commit &commit)
+    {
+        const bool fits = std::all_of(commit.writes_.begin(), commit.writes_.end(), [this](const batch::ProgressWrite &record) {
+            return record.remove_ || batch::encode(record.progress_).size() <= maxRecordBytes_;
+        });
+        if (fits) {
+            step({batch::CommitDone{commit.commit_, ++revision_}});
+            return;
+        }
+        std::set<std::string> jobs;
+        for (const batch::ProgressWrite &record : commit.writes_) {
+            jobs.insert(record.job_.str());
+        }
+        rejectedCommits_.push_back(std::move(jobs));
+        step({batch::CommitRejected{commit.commit_}});
+    }
+
     /// Carries out the orders of \p sent on the executors, all at once except for stops held back by delayedStopIndex_.
     void carryOut(const batch::SendDirective &sent)
     {
+        largestDirective_ = std::max(largestDirective_, batch::encode(sent.directive_).size());
+        if (largestDirective_ > batch::maxAgentFrameBytes) {
+            return; // the agent closes the connection, and so it does with the next one
+        }
         const auto report = std::find_if(reports_.begin(), reports_.end(), [&sent](const auto &candidate) { return candidate.agent_ == sent.agent_; });
         for (const batch::StartOrder &start : sent.directive_.starts_) {
             const auto known
@@ -333,6 +384,7 @@
     }
 
 public:
+    std::size_t maxRecordBytes_ = batch::LeaderLimits().maxRecordBytes_; ///< the store rejects commits with larger records
     bool storeIsSlow_ = false; ///< commits are answered by answerCommit() only
     std::optional<std::uint32_t> delayedStopIndex_; ///< task index whose runs don't stop while it is set
 
@@ -348,6 +400,9 @@
     std::vector<batch::Commit> pendingCommits_;
     std::vector<batch::AdviceRequest> adviceRequests_;
     std::vector<std::string> tickets_;
+    std::vector<batch::LogEvent> logEvents_;
+    std::vector<std::set<std::string>> rejectedCommits_;
+    std::size_t largestDirective_ = 0;
     std::int64_t revision_ = 10;
 };
 
--- a/tests/process/store_client_test.cpp
+++ b/tests/process/store_client_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(unavailableStoreIsReported);
     CPPUNIT_TEST(lostReplyIsAmbiguous);
     CPPUNIT_TEST(unreadableReplyToWriteIsNotTakenAsApplied);
+    CPPUNIT_TEST(writeThatTheStoreDoesNotTakeIsToldFromALostReply);
     CPPUNIT_TEST(incompleteRepliesAreErrors);
     CPPUNIT_TEST(rangeEndsWhenPagesRepeat);
     CPPUNIT_TEST_SUITE_END();
@@ -161,6 +162,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string("v"), retried.current_.at(0).value_);
     }
 
+    void writeThatTheStoreDoesNotTakeIsToldFromALostReply()
+    {
+        for (const int status : {400, 413}) {
+            const FixedReplyServer server(status, "{}");
+            platform::StoreClient client(server.address());
+            const auto error = errorOf<StoreError>([&] { return client.apply({}, hangTimeout); });
+            CPPUNIT_ASSERT(error.code_ == StoreErrc::Rejected);
+        }
+        platform::Transaction create;
+        create.puts_ = {{"k", std::string(soak::maxValueBytes + 1, 'v'), 0}};
+        const auto error = errorOf<StoreError>([&] { return client_.apply(create, hangTimeout); });
+        CPPUNIT_ASSERT(error.code_ == StoreErrc::Rejected);
+        create.puts_.front().value_.pop_back();
+        CPPUNIT_ASSERT(value(client_.apply(create, hangTimeout)).applied_);
+    }
+
     void incompleteRepliesAreErrors()
     {
         const FixedReplyServer server(200, "{}");
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -64,6 +64,12 @@
                 port, platform::parseSettings(std::string("internal_ports=") + port + "\n").invalidFields_ == std::vector<std::string>{"internal_ports"});
         }
         CPPUNIT_ASSERT(platform::parseSettings("bounds.stop_ms=\n").invalidFields_.empty());
+        for (const char *size : {"0", "-1", "1.5", "1e6", "text", "99999999999999999999"}) {
+            const platform::ParsedSettings file = platform::parseSettings(std::string("platform.value_bytes=") + size + "\n");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(size, std::size_t{1}, file.invalidFields_.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(size, platform::NodeSettings().maxValueBytes_, file.settings_.maxValueBytes_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{65'536}, platform::parseSettings("platform.value_bytes=65536\n").settings_.maxValueBytes_);
     }
 
     void base64RoundTrips()
