leader: orders for one agent are spread over directives that it can read

Cause: a directive holds all starts for an executor, each with its job's spec. Beyond maxAgentFrameBytes (4 MiB) the agent takes the frame as broken and closes the connection; the leader repeats the same directive with the next report, for ever.

Now the orders go into as many directives as needed, 1 MiB of orders each, all with the same echo, permit, incarnation and cursor. One order can't exceed the frame: its parts come from records of at most value_bytes.

Ruled out: a larger frame (only moves the bound; a side machine has 128 MB); sending a part of the orders with each report (starts that wait for an answer would hold back the others).

--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -11,6 +11,7 @@
 #include "core/batch/stalls.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotwick::batch {
 
@@ -26,6 +27,46 @@
 /// Time after a rejection in which nothing more of the job is placed.
 constexpr milliseconds placementPauseAfterRejection{10'000};
 
+/// Size of the orders in a directive after which the others go into a further one. Leaves room for a directive's other fields.
+constexpr std::size_t maxOrderBytesPerDirective = maxAgentFrameBytes / 4;
+
+/// Returns an upper bound on the encoded size of \p run.
+std::size_t maxEncodedSize(const RunId &run)
+{
+    constexpr std::size_t numbersAndLengths = 32;
+    return run.task_.job_.str().size() + numbersAndLengths;
+}
+
+std::size_t maxEncodedSize(const StartOrder &order)
+{
+    constexpr std::size_t lengths = 32;
+    return maxEncodedSize(order.run_) + order.spec_.size() + order.checkpoint_.size() + order.ticket_.size() + lengths;
+}
+
+/// Spreads the orders of \p directive over as many directives as an agent needs to read them; the other fields are the same in each.
+std::vector<Directive> spread(Directive directive)
+{
+    const std::vector<StartOrder> starts = std::exchange(directive.starts_, {});
+    const std::vector<RunId> stops = std::exchange(directive.stops_, {});
+    std::vector<Directive> parts{directive};
+    std::size_t bytes = 0;
+    const auto partFor = [&](std::size_t orderBytes) -> Directive & {
+        if (bytes > 0 && bytes + orderBytes > maxOrderBytesPerDirective) {
+            parts.push_back(directive);
+            bytes = 0;
+        }
+        bytes += orderBytes;
+        return parts.back();
+    };
+    for (const RunId &run : stops) {
+        partFor(maxEncodedSize(run)).stops_.push_back(run);
+    }
+    for (const StartOrder &start : starts) {
+        partFor(maxEncodedSize(start)).starts_.push_back(start);
+    }
+    return parts;
+}
+
 /// Additional time for which a job's records are kept after callers can no longer query them.
 constexpr milliseconds removalSlack{5'000};
 
@@ -488,7 +529,9 @@
         if (directive.permit_ && executor != cluster_.executors_.end()) {
             executor->second.lastPermit_ = cluster_.now_;
         }
-        outputs.emplace_back(SendDirective{name, std::move(directive)});
+        for (Directive &part : spread(std::move(directive))) {
+            outputs.emplace_back(SendDirective{name, std::move(part)});
+        }
     }
 }
 
