node: a job that can't be kept is refused at hand-in, with its reason

Cause: nothing compared a job with what the store takes. Up to 100,000 tasks were accepted, of 30 bytes each in one record before any has begun; each task at work adds the names of its executor and host, and these stayed after its end.

Now recordExcess() says at hand-in whether a record may ever become larger than platform.value_bytes: 413 with reason, found and limit. For 1 MiB: 20,006 tasks over all occurrences, 8,366 with checkpoints, 6,024 (4,404) that must run at once. tasksWithinRecord() assigns only as many tasks at a time as the record holds whatever becomes of them, so that an accepted job never grows over it; a gang waits until it fits as a whole. A write that the store rejects is answered 413 instead of being repeated until the deadline.

Ruled out: allowances at hand-in for all tasks at work at once (6,024 tasks a job, and a week of minutes is 10,080); a record in pages (a new format); 503 (the caller would try again). `bergamotwick check` sees no jobs: it reads a configuration folder.

--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -164,6 +164,11 @@
                        {"stretch", std::to_string(job.stretch_)},
                        {"target_ms", std::to_string(job.targetLatency_.count())},
                        {"age_ms", std::to_string(age.count())}});
+    if (const auto excess = recordExcess(job.submission_, cluster_.limits_.maxRecordBytes_)) {
+        cluster_.logEvent(
+            "job-too-large",
+            {{"job", id.str()}, {"reason", toString(excess->kind_)}, {"found", std::to_string(excess->found_)}, {"limit", std::to_string(excess->limit_)}});
+    }
     Job &stored = cluster_.jobs_.emplace(id, std::move(job)).first->second;
     if (cancelled_.erase(id) > 0) {
         finishJob(cluster_, stored, JobState::Cancelled, "cancelled");
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -9,6 +9,7 @@
 #include "core/batch/pace.h"
 #include "core/batch/preemption.h"
 #include "core/batch/racks.h"
+#include "core/batch/record.h"
 
 #include <algorithm>
 #include <limits>
@@ -262,6 +263,14 @@
     return needsIsolation(*group.job_, group.tasks_.front()) && !mayStartUnisolated(cluster, group);
 }
 
+/// Leaves out the tasks of \p group with which its job's record could become larger than the store takes.
+void limitToRecord(const ClusterState &cluster, WaitingGroup &group)
+{
+    const Job &job = *group.job_;
+    const bool together = job.submission_.steps_[group.group_.step_].gang_;
+    group.tasks_ = tasksWithinRecord(job.submission_, job.progress_, std::move(group.tasks_), together, cluster.limits_.maxRecordBytes_);
+}
+
 /// Logs, once for each group, that \p held executors are held for it.
 void logHold(ClusterState &cluster, const WaitingGroup &group, std::size_t missing, std::size_t held)
 {
@@ -303,6 +312,7 @@
     ExecutorHolds holds(cluster);
     for (WaitingGroup &group : waiting) {
         limitIsolatedStarts(cluster, group);
+        limitToRecord(cluster, group);
         if (group.tasks_.empty()) {
             continue;
         }
--- a/src/core/batch/record.cpp
+++ b/src/core/batch/record.cpp
@@ -1,7 +1,62 @@
 #include "core/batch/record.h"
 
+#include "core/batch/codec.h"
+
+#include <algorithm>
+
 namespace bergamotwick::batch {
 
+namespace {
+
+// Allowances for what isn't known at hand-in. A record that outgrows them all the same is rejected by the store, which Leader handles.
+
+constexpr std::size_t fixedBytes = 256; ///< header, id, state and times
+constexpr std::size_t emptyTaskBytes = 30; ///< a task that hasn't begun, or is done
+constexpr std::size_t failedRunsBytes = 4 * sizeof(std::uint32_t);
+constexpr std::size_t checkpointBytes = 64;
+constexpr std::size_t placeBytes = 128; ///< names of executor and host, while a task is assigned
+
+/// Tasks that a job of more may have assigned at a time, whatever has become of the others.
+constexpr std::size_t minAssignable = 1'000;
+
+/// Returns what a task of \p job that isn't done takes while it isn't assigned.
+std::size_t waitingTaskBytes(const Submission &job)
+{
+    const bool checkpoints = std::any_of(job.steps_.begin(), job.steps_.end(), [](const Step &step) { return step.checkpointable_; });
+    return emptyTaskBytes + failedRunsBytes + (checkpoints ? checkpointBytes : 0);
+}
+
+std::size_t taskBytes(const TaskProgress &task)
+{
+    return emptyTaskBytes + (task.done_ ? 0 : task.failedRuns_.size() * sizeof(std::uint32_t) + task.checkpoint_.size());
+}
+
+std::size_t countTasks(const Submission &job)
+{
+    std::size_t tasks = 0;
+    for (const Step &step : job.steps_) {
+        tasks += std::size_t{step.count_} * job.occurrences();
+    }
+    return tasks;
+}
+
+/// Returns how many tasks of \p job must run at the same time, sooner or later.
+std::size_t countTasksAtOnce(const Submission &job)
+{
+    std::size_t lasting = 0;
+    std::size_t largestGang = 0;
+    for (const Step &step : job.steps_) {
+        if (step.longRunning_) {
+            lasting += std::size_t{step.count_} * job.occurrences();
+        } else if (step.gang_) {
+            largestGang = std::max<std::size_t>(largestGang, step.count_);
+        }
+    }
+    return lasting + largestGang;
+}
+
+}
+
 Progress recordOf(Progress progress)
 {
     for (TaskProgress &task : progress.tasks_) {
@@ -17,4 +72,49 @@
     return progress;
 }
 
+std::optional<RecordExcess> recordExcess(const Submission &job, std::size_t maxBytes)
+{
+    const std::size_t submissionBytes = encode(job).size();
+    if (submissionBytes > maxBytes) {
+        return RecordExcess{ExcessKind::Submission, submissionBytes, maxBytes};
+    }
+    const std::size_t room = maxBytes > fixedBytes ? maxBytes - fixedBytes : 0;
+    const std::size_t waitingBytes = waitingTaskBytes(job);
+    const std::size_t tasks = countTasks(job);
+    std::size_t maxTasks = room / (waitingBytes + placeBytes);
+    if (maxTasks > minAssignable) {
+        maxTasks = (room - minAssignable * placeBytes) / waitingBytes;
+    }
+    if (tasks > maxTasks) {
+        return RecordExcess{ExcessKind::Tasks, tasks, maxTasks};
+    }
+    const std::size_t maxAtOnce = (room - tasks * waitingBytes) / placeBytes;
+    const std::size_t atOnce = countTasksAtOnce(job);
+    return atOnce > maxAtOnce ? std::optional(RecordExcess{ExcessKind::TasksAtOnce, atOnce, maxAtOnce}) : std::nullopt;
+}
+
+std::vector<std::size_t> tasksWithinRecord(const Submission &job, const Progress &progress, std::vector<std::size_t> tasks, bool together, std::size_t maxBytes)
+{
+    const std::size_t assignedBytes = waitingTaskBytes(job) + placeBytes;
+    if (fixedBytes + progress.tasks_.size() * assignedBytes <= maxBytes) {
+        return tasks; // the usual case
+    }
+    const auto bytesOf = [&](const TaskProgress &task) { return task.assigned_ ? std::max(assignedBytes, taskBytes(task) + placeBytes) : taskBytes(task); };
+    std::size_t bytes = fixedBytes;
+    for (const TaskProgress &task : progress.tasks_) {
+        bytes += bytesOf(task);
+    }
+    std::size_t fitting = 0;
+    for (const std::size_t task : tasks) {
+        const std::size_t present = taskBytes(progress.tasks_[task]);
+        bytes += std::max(assignedBytes, present + placeBytes) - present;
+        if (bytes > maxBytes) {
+            break;
+        }
+        ++fitting;
+    }
+    tasks.resize(together && fitting < tasks.size() ? 0 : fitting);
+    return tasks;
+}
+
 }
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -84,7 +84,13 @@
         , election_(store_, membership_, agentAddress(settings).str(), leaderLimitsOf(settings).leaseTtl_, candidacyDelayOf(settings), electionCallbacks())
         , forwarder_(settings.nodeName_, [this] { return membership_.members(); })
         , service_(
-              store_, config_, forwarder_, [this](const std::string &queue) { return leader_.waitingJobs(queue); }, metrics_, maxConfigAgeOf(settings))
+              store_,
+              config_,
+              forwarder_,
+              [this](const std::string &queue) { return leader_.waitingJobs(queue); },
+              metrics_,
+              maxConfigAgeOf(settings),
+              settings.maxValueBytes_)
         , forwardListener_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
         , callersServer_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
         , readinessServer_(settings.readinessAddress_, platform::readinessPath, [this] {
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -81,14 +81,20 @@
     }
 };
 
-JobService::JobService(
-    platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, CountWaiting countWaiting, Metrics &metrics, Duration maxConfigAge)
+JobService::JobService(platform::StoreClient &store,
+                       const ConfigReplica &config,
+                       Forwarder &forwarder,
+                       CountWaiting countWaiting,
+                       Metrics &metrics,
+                       Duration maxConfigAge,
+                       std::size_t maxRecordBytes)
     : store_(store)
     , config_(config)
     , forwarder_(forwarder)
     , countWaiting_(std::move(countWaiting))
     , metrics_(metrics)
     , maxConfigAge_(maxConfigAge)
+    , maxRecordBytes_(maxRecordBytes)
 {
 }
 
@@ -182,6 +188,7 @@
 Answer JobService::submit(const Request &request, const platform::Call &call)
 {
     batch::Submission submission;
+    std::string wrongField;
     const bool readable = leaf::try_handle_all(
         [&]() -> Result<bool> {
             BOOST_LEAF_ASSIGN(submission, platform::decodeJob(call.body_));
@@ -189,11 +196,12 @@
         },
         [&](const DocumentError &error) {
             logEvent(LogLevel::Info, "job-malformed", {{"job", request.id_}, {"field", error.field_}});
+            wrongField = error.field_;
             return false;
         },
         [] { return false; });
     if (!readable) {
-        return answerWithStatus(platform::statusBadRequest);
+        return {platform::statusBadRequest, platform::encodeMalformed(wrongField), {}};
     }
     if (const auto known = probeStore(request)) {
         return *known;
@@ -203,6 +211,12 @@
     submission.workspace_ = request.workspace_;
     submission.service_ = request.queue_->service_;
     submission.acceptedAt_ = calendarNow();
+    if (const auto excess = batch::recordExcess(submission, maxRecordBytes_)) {
+        logEvent(LogLevel::Info,
+                 "job-too-large",
+                 {{"job", request.id_}, {"reason", batch::toString(excess->kind_)}, {"found", excess->found_}, {"limit", excess->limit_}});
+        return {platform::statusTooLarge, platform::encodeRefusal(*excess), {}};
+    }
     platform::Transaction transaction;
     const std::string key = keys::jobs + request.id_;
     transaction.expected_ = {{key, 0}};
@@ -226,6 +240,9 @@
                 logEvent(LogLevel::Warning,
                          "job-not-stored",
                          {{"job", request.id_}, {"error", toString(error.code_)}, {"may_be_stored", mayBeStored}, {"took_ms", request.elapsed().count()}});
+                if (error.code_ == StoreErrc::Rejected) {
+                    return platform::statusTooLarge;
+                }
                 return mayBeStored ? 0 : platform::statusUnavailable;
             },
             [] { return 0; });
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -24,9 +24,15 @@
     /// Returns the number of waiting jobs in a queue; nothing if this entry doesn't lead.
     using CountWaiting = std::function<std::optional<std::size_t>(const std::string &queue)>;
 
-    /// No call is admitted with a configuration older than \p maxConfigAge, as API keys may have been revoked since.
-    JobService(
-        platform::StoreClient &store, const ConfigReplica &config, Forwarder &forwarder, CountWaiting countWaiting, Metrics &metrics, Duration maxConfigAge);
+    /// No call is admitted with a configuration older than \p maxConfigAge, as API keys may have been revoked since. No job is accepted of which a
+    /// record may become larger than \p maxRecordBytes.
+    JobService(platform::StoreClient &store,
+               const ConfigReplica &config,
+               Forwarder &forwarder,
+               CountWaiting countWaiting,
+               Metrics &metrics,
+               Duration maxConfigAge,
+               std::size_t maxRecordBytes);
 
     /// Replaces the maximum age of the configuration. Thread-safe.
     void setMaxConfigAge(Duration maxConfigAge) noexcept
@@ -67,6 +73,7 @@
     CountWaiting countWaiting_;
     Metrics &metrics_;
     std::atomic<Duration> maxConfigAge_;
+    std::size_t maxRecordBytes_;
     std::mutex countsMutex_;
     std::map<std::string, CachedCount> counts_; ///< the leader's latest answers, by queue
 };
--- a/tests/process/job_service_test.cpp
+++ b/tests/process/job_service_test.cpp
@@ -31,7 +31,7 @@
         , config_(configClient_, [] {})
         , forwarder_(name, std::move(findMembers))
         , service_(
-              jobClient_, config_, forwarder_, [](const std::string &) { return std::nullopt; }, metrics_, std::chrono::hours(1))
+              jobClient_, config_, forwarder_, [](const std::string &) { return std::nullopt; }, metrics_, std::chrono::hours(1), soak::maxValueBytes)
         , configThread_([this] { config_.run(); })
     {
         while (!service_.ready()) {
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(missingJobIsReportedThroughAnotherEntry);
     CPPUNIT_TEST(submissionThatAnotherEntryMayStoreIsNotRefused);
     CPPUNIT_TEST(submissionThatNoOtherEntryGotIsRefused);
+    CPPUNIT_TEST(submissionThatCanNotBeKeptIsRefusedWithItsReason);
+    CPPUNIT_TEST(submissionThatCanNotBeReadIsRefusedWithItsField);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,7 +119,44 @@
         CPPUNIT_ASSERT_EQUAL(platform::statusUnavailable, submitBeside(freeAddress()).status_);
     }
 
+    void submissionThatCanNotBeKeptIsRefusedWithItsReason()
+    {
+        const std::string steps = R"("steps":[{"count":1,"cpu":1000,"mem_mb":512,"estimate_ms":500}])";
+        const platform::Answer refused = submitToServed(R"({"spec":"500","repeats":43200,"interval_ms":60000,)" + steps + "}");
+        CPPUNIT_ASSERT_EQUAL(platform::statusTooLarge, refused.status_);
+        CPPUNIT_ASSERT_MESSAGE(refused.body_, refused.body_.starts_with(R"({"found":43200,"limit":)"));
+        CPPUNIT_ASSERT_MESSAGE(refused.body_, refused.body_.ends_with(R"("reason":"too-many-tasks"})"));
+        CPPUNIT_ASSERT(store_.values(node::keys::jobs).empty());
+        const std::string label(2 * soak::maxValueBytes, 'x');
+        const platform::Answer tooLong = submitToServed(R"({"spec":"500","steps":[{"constraints":")" + label + R"("}]})", label.size() * 2);
+        CPPUNIT_ASSERT_EQUAL(platform::statusTooLarge, tooLong.status_);
+        CPPUNIT_ASSERT_MESSAGE(tooLong.body_, tooLong.body_.ends_with(R"("reason":"submission-too-large"})"));
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, submitToServed(R"({"spec":"500","repeats":10080,"interval_ms":60000,)" + steps + "}").status_);
+    }
+
+    void submissionThatCanNotBeReadIsRefusedWithItsField()
+    {
+        const platform::Answer refused = submitToServed(R"({"spec":"500","repeats":2,"steps":[{"count":60000}]})");
+        CPPUNIT_ASSERT_EQUAL(platform::statusBadRequest, refused.status_);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"field":"repeats","reason":"malformed"})"), refused.body_);
+    }
+
 private:
+    /// Submits a job with \p body to an entry that the store serves. The configuration allows bodies of \p maxBodyBytes.
+    platform::Answer submitToServed(const std::string &body, std::size_t maxBodyBytes = 0)
+    {
+        if (maxBodyBytes > 0) {
+            std::string config = operatorConfig;
+            const std::string usual = "262144";
+            config.replace(config.find(usual), usual.size(), std::to_string(maxBodyBytes));
+            store_.put("op/config", config);
+        }
+        Entry entry("served", store_, store_, [] { return node::Members(); });
+        platform::Call submission = call(platform::CallMethod::Submit);
+        submission.body_ = body;
+        return entry.service_.answer(submission);
+    }
+
     /// Submits a job to an entry that the store turns away, beside another one that accepts forwarded calls at \p forwardAddress.
     platform::Answer submitBeside(const Address &forwardAddress)
     {
