job_service: submit() within the linter's size

The checks at hand-in had made it longer than readability-function-size allows; decoding and the refusal are functions of their own now.

--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -54,6 +54,34 @@
     return {status, "{}", status == platform::statusUnavailable ? unavailableRetryAfter : std::chrono::seconds(0)};
 }
 
+/// Decodes \p body into \p submission. Returns the answer if it isn't a valid job.
+std::optional<Answer> decodeOrRefuse(const std::string &id, const std::string &body, batch::Submission &submission)
+{
+    return leaf::try_handle_all(
+        [&]() -> Result<std::optional<Answer>> {
+            BOOST_LEAF_ASSIGN(submission, platform::decodeJob(body));
+            return std::optional<Answer>();
+        },
+        [&](const DocumentError &error) -> std::optional<Answer> {
+            logEvent(LogLevel::Info, "job-malformed", {{"job", id}, {"field", error.field_}});
+            return Answer{platform::statusBadRequest, platform::encodeMalformed(error.field_), {}};
+        },
+        []() -> std::optional<Answer> { return answerWithStatus(platform::statusBadRequest); });
+}
+
+/// Returns the answer to a submission of which a record may become larger than \p maxRecordBytes.
+std::optional<Answer> refuseExcess(const batch::Submission &submission, std::size_t maxRecordBytes)
+{
+    const auto excess = batch::recordExcess(submission, maxRecordBytes);
+    if (!excess) {
+        return std::nullopt;
+    }
+    logEvent(LogLevel::Info,
+             "job-too-large",
+             {{"job", submission.id_.str()}, {"reason", batch::toString(excess->kind_)}, {"found", excess->found_}, {"limit", excess->limit_}});
+    return Answer{platform::statusTooLarge, platform::encodeRefusal(*excess), {}};
+}
+
 }
 
 /// A call with its queue and its caller's workspace.
@@ -188,20 +216,8 @@
 Answer JobService::submit(const Request &request, const platform::Call &call)
 {
     batch::Submission submission;
-    std::string wrongField;
-    const bool readable = leaf::try_handle_all(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_ASSIGN(submission, platform::decodeJob(call.body_));
-            return true;
-        },
-        [&](const DocumentError &error) {
-            logEvent(LogLevel::Info, "job-malformed", {{"job", request.id_}, {"field", error.field_}});
-            wrongField = error.field_;
-            return false;
-        },
-        [] { return false; });
-    if (!readable) {
-        return {platform::statusBadRequest, platform::encodeMalformed(wrongField), {}};
+    if (auto refusal = decodeOrRefuse(request.id_, call.body_, submission)) {
+        return *refusal;
     }
     if (const auto known = probeStore(request)) {
         return *known;
@@ -211,11 +227,8 @@
     submission.workspace_ = request.workspace_;
     submission.service_ = request.queue_->service_;
     submission.acceptedAt_ = calendarNow();
-    if (const auto excess = batch::recordExcess(submission, maxRecordBytes_)) {
-        logEvent(LogLevel::Info,
-                 "job-too-large",
-                 {{"job", request.id_}, {"reason", batch::toString(excess->kind_)}, {"found", excess->found_}, {"limit", excess->limit_}});
-        return {platform::statusTooLarge, platform::encodeRefusal(*excess), {}};
+    if (auto refusal = refuseExcess(submission, maxRecordBytes_)) {
+        return *refusal;
     }
     platform::Transaction transaction;
     const std::string key = keys::jobs + request.id_;
