Losses: a start that may never have arrived is weak evidence against its task

Cause: a run that its leader had never seen listed counted as one that crashed its executor right at its start, the strongest evidence there is. Two such losses gave the job up, though an executor that is gone answers nothing either.

Mend: such a run counts as begun only if the report of the loss shows that its start was answered: its order has ended within the time for which an unanswered one stays open, and the agent's process is old enough to know. Without that its survival is unknown, as for a former leader's run, and a task with an unknown survival is given up by evidence from the fourth crash on. Beside such a run the youngest listed one is suspected too. A refused start counts for nothing, as before. Nothing stored changes.

Ruled out: no weight at all for such losses. A task that crashes its executor before its start is answered would never be found (BUDGET).

--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -29,6 +29,9 @@
 /// A task is given up if executors would crash under a sound task as often as under it with at most this probability.
 constexpr double maxChanceOfSoundTask = 0.000002;
 
+/// As above, if it isn't known of each crash how long the task's run was alive, or whether its start had reached the executor at all.
+constexpr std::uint32_t crashesBeforeGivingUpUnseen = 4;
+
 /// A task is given up after this many crashes in any case.
 constexpr std::uint32_t maxCrashes = 5;
 
@@ -89,13 +92,13 @@
 }
 
 /// Returns how long \p run may have lived on \p executor, which is lost, or std::nullopt if the time for which it was listed shows it.
-std::optional<Duration> boundOfSurvival(const ClusterState &cluster, const Executor &executor, const Run &run)
+std::optional<Duration> boundOfSurvival(const ClusterState &cluster, const Executor &executor, const Run &run, bool hasBegun)
 {
     if (run.inherited_) {
         return cluster.now_ - cluster.jobs_.at(run.id_.task_.job_).acceptedAt_;
     }
     const Instant lastAnswer = executor.responsive_ ? cluster.now_ : executor.unresponsiveSince_;
-    const bool isKnown = run.listedAt_ != Duration(0) || lastAnswer - run.startedAt_ <= earlyCrashTime;
+    const bool isKnown = run.listedAt_ != Duration(0) || (hasBegun && lastAnswer - run.startedAt_ <= earlyCrashTime);
     return isKnown ? std::nullopt : std::optional(cluster.now_ - run.startedAt_);
 }
 
@@ -251,7 +254,9 @@
 {
     const bool otherCause = hasOtherCause(cluster, crashes.lastLost_, lostAt);
     const double chance = chanceOfSoundTask(cluster, job.submission_.id_, crashes);
-    const bool givenUp = crashes.crashes_ >= maxCrashes || (crashes.suspected_ >= crashesBeforeGivingUp && !otherCause && chance <= maxChanceOfSoundTask);
+    const bool isEnough = crashes.crashes_ >= (crashes.knowsSurvivals() ? crashesBeforeGivingUp : crashesBeforeGivingUpUnseen);
+    const bool isEvident = isEnough && crashes.suspected_ >= crashesBeforeGivingUp && !otherCause && chance <= maxChanceOfSoundTask;
+    const bool givenUp = crashes.crashes_ >= maxCrashes || isEvident;
     cluster.logEvent(givenUp ? "task-given-up" : "task-suspected",
                      {{"job", job.submission_.id_.str()},
                       {"task", std::to_string(crashes.task_)},
@@ -287,17 +292,19 @@
     return leasesExpired ? LossKind::Unreachable : LossKind::Crashed;
 }
 
-ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const std::set<RunId> &notStarted)
+ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const UnlistedStarts &unlisted)
 {
     ExecutorLoss loss{executor.info_.incarnation_, kind, {}};
     for (const RunId &id : executor.runs_) {
         const Run &run = cluster.runs_.at(id);
-        if (run.phase_ == RunPhase::Committing || run.lossRecorded_ || run.hasEnded_ || run.placement_ != loss.incarnation_ || notStarted.contains(id)) {
+        const bool isOver = run.lossRecorded_ || run.hasEnded_ || run.placement_ != loss.incarnation_;
+        if (run.phase_ == RunPhase::Committing || isOver || unlisted.refused_.contains(id)) {
             continue;
         }
         const bool listed = run.listedAt_ != Duration(0);
         const Duration survival = std::max<Duration>(executor.listedAt_ - run.listedAt_, milliseconds(1));
-        loss.runs_.push_back({id, listed ? std::optional(survival) : std::nullopt, run.isolated_, boundOfSurvival(cluster, executor, run)});
+        const bool hasBegun = listed || unlisted.accepted_.contains(id);
+        loss.runs_.push_back({id, listed ? std::optional(survival) : std::nullopt, run.isolated_, boundOfSurvival(cluster, executor, run, hasBegun), hasBegun});
     }
     return loss;
 }
@@ -316,14 +323,15 @@
     if (auto isolated = idsWhere([](const LostRun &run) { return run.isolated_; }); !isolated.empty()) {
         return isolated;
     }
-    if (auto unlisted = idsWhere([](const LostRun &run) { return !run.survival_; }); !unlisted.empty()) {
+    if (auto unlisted = idsWhere([](const LostRun &run) { return run.hasBegun_ && !run.survival_; }); !unlisted.empty()) {
         return unlisted;
     }
     Duration shortest = likelyCauseWindow;
     for (const LostRun &run : loss.runs_) {
-        shortest = std::min(shortest, *run.survival_);
+        shortest = std::min(shortest, run.survival_.value_or(likelyCauseWindow));
     }
-    return idsWhere([shortest](const LostRun &run) { return *run.survival_ < std::min<Duration>(shortest + listingPeriod, likelyCauseWindow); });
+    return idsWhere(
+        [shortest](const LostRun &run) { return !run.hasBegun_ || *run.survival_ < std::min<Duration>(shortest + listingPeriod, likelyCauseWindow); });
 }
 
 void recordLoss(ClusterState &cluster, Executor &executor, const ExecutorLoss &loss)
--- a/src/core/batch/crashes.h
+++ b/src/core/batch/crashes.h
@@ -17,6 +17,13 @@
     Unreachable, ///< nothing was heard of it until all leases had expired; only its next incarnation can show whether it crashed
 };
 
+/// What a report says of starts on a lost executor that no list has shown.
+struct UnlistedStarts
+{
+    std::set<RunId> refused_; ///< not carried out
+    std::set<RunId> accepted_; ///< the executor has answered them; others may never have reached it
+};
+
 /// A run on an executor when it was lost.
 struct LostRun
 {
@@ -24,6 +31,7 @@
     std::optional<Duration> survival_; ///< from its first to its last listing; unset if this leader never saw it listed
     bool isolated_ = false; ///< Run::isolated_
     std::optional<Duration> maxSurvival_ = std::nullopt; ///< set if it may have lived longer than survival_, at most this long
+    bool hasBegun_ = true; ///< it was listed, or its start was accepted; if not, the start may never have reached the executor
 };
 
 /// An executor that was lost, with the runs on it.
@@ -40,12 +48,12 @@
 /// Returns how the executor of \p report was lost. Precondition: reportsLoss(). \p executor is its record before the report's lists are applied.
 [[nodiscard]] LossKind lossKindOf(const Executor &executor, const Report &report) noexcept;
 
-/// Returns the loss of \p executor with the runs that its current incarnation held, without those in \p notStarted and those for which the loss
-/// has been recorded.
-[[nodiscard]] ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const std::set<RunId> &notStarted = {});
+/// Returns the loss of \p executor with the runs that its current incarnation held, without refused ones and those for which the loss has been
+/// recorded.
+[[nodiscard]] ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const UnlistedStarts &unlisted = {});
 
-/// Returns the runs that probably caused \p loss: an isolated one, else those that were never listed, else the youngest if they had been
-/// listed for a short time only. Empty if the cause lies elsewhere. Thread-safe.
+/// Returns the runs that probably caused \p loss: an isolated one, else those that had begun but were never listed, else the youngest if they had been
+/// listed for a short time only, and those that may never have reached the executor. Empty if the cause lies elsewhere. Thread-safe.
 [[nodiscard]] std::vector<RunId> likelyCauses(const ExecutorLoss &loss);
 
 /// Counts \p loss for each task that ran on the executor. Whether a task that is the only suspect again is given up is decided after a short
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -79,6 +79,24 @@
     return isInferred(report) ? listedAt - maxCallDelay - withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) : listedAt;
 }
 
+/// Returns what \p report, by which an executor is lost, says of starts there that no list has shown.
+UnlistedStarts unlistedStarts(const ClusterState &cluster, const Report &report)
+{
+    UnlistedStarts starts;
+    const auto agent = cluster.agents_.find(report.agent_);
+    const bool knowsCalls = agent != cluster.agents_.end() && cluster.now_ - agent->second.restartedAt_ >= maxCallDelay;
+    for (const SettledOrder &order : report.settled_) {
+        const auto run = cluster.runs_.find(order.run_);
+        if (order.outcome_ == OrderOutcome::Refused) {
+            starts.refused_.insert(order.run_);
+        } else if (knowsCalls && run != cluster.runs_.end() && run->second.phase_ == RunPhase::Starting
+                   && cluster.now_ - run->second.startedAt_ < maxCallDelay) {
+            starts.accepted_.insert(order.run_); // one that wasn't answered stays open for maxCallDelay
+        }
+    }
+    return starts;
+}
+
 /// Settles the runs on \p executor that match \p predicate. Settling one may remove other members of its gang.
 template<class Predicate>
 void settleRuns(ClusterState &cluster, const Executor &executor, const char *reason, Predicate predicate)
@@ -177,13 +195,7 @@
     if (!reportsLoss(cluster, report) || executor.lost_ || executor.info_.hasLeft_ || executor.info_.draining_) {
         return;
     }
-    std::set<RunId> notStarted;
-    for (const SettledOrder &order : report.settled_) {
-        if (order.outcome_ == OrderOutcome::Refused) {
-            notStarted.insert(order.run_);
-        }
-    }
-    recordLoss(cluster, executor, lossOf(cluster, executor, lossKindOf(executor, report), notStarted));
+    recordLoss(cluster, executor, lossOf(cluster, executor, lossKindOf(executor, report), unlistedStarts(cluster, report)));
 }
 
 void carryOverToCurrentIncarnation(ClusterState &cluster, Executor &executor)
--- a/tests/unit/batch_crash_evidence_test.cpp
+++ b/tests/unit/batch_crash_evidence_test.cpp
@@ -56,6 +56,18 @@
         crash(run, executor);
     }
 
+    /// Has the task started anew on an executor whose next incarnation is heard of before anything shows that the start has arrived.
+    void crashUnanswered()
+    {
+        bench_.endRun(currentRun(), batch::EndKind::Stopped);
+        bench_.advanceTime(100ms);
+        batch::Report &report = bench_.report(bench_.executorOf(currentRun()).value());
+        report.running_.clear();
+        report.ended_.clear();
+        ++report.executor_.incarnation_.startTimeMs_;
+        bench_.advanceTime(200ms);
+    }
+
     /// Replaces the leader, as soon as its records are stored.
     void replaceLeader()
     {
@@ -99,6 +111,9 @@
     CPPUNIT_TEST(crashOfAFormerLeadersRunOutlastsAShortSurvival);
     CPPUNIT_TEST(lateCrashIsNotForgotten);
     CPPUNIT_TEST(startOfASilentExecutorIsNoEvidenceOfAnEarlyCrash);
+    CPPUNIT_TEST(startsThatMayNotHaveArrivedAreWeakEvidence);
+    CPPUNIT_TEST(taskIsGivenUpAfterFourCrashesBeforeItsStartWasAnswered);
+    CPPUNIT_TEST(youngRunIsSuspectedBesideAStartThatMayNotHaveArrived);
     CPPUNIT_TEST(isolationAfterTheCrashOfAFormerLeadersRunEndsEarly);
     CPPUNIT_TEST(taskIsGivenUpAfterFiveCrashesThatNoLeaderSaw);
     CPPUNIT_TEST(lastCrashIsDecidedOnByTheNextLeader);
@@ -177,6 +192,40 @@
         }
     }
 
+    void startsThatMayNotHaveArrivedAreWeakEvidence()
+    {
+        CrashedJob job(60s);
+        for (std::uint32_t crashes = 1; crashes <= 3; ++crashes) {
+            job.crashUnanswered();
+            CPPUNIT_ASSERT_EQUAL(crashes, job.crashes());
+            job.awaitDecision();
+            CPPUNIT_ASSERT(!job.isGivenUp());
+        }
+    }
+
+    void taskIsGivenUpAfterFourCrashesBeforeItsStartWasAnswered()
+    {
+        CrashedJob job(60s);
+        for (int crash = 0; crash < 4; ++crash) {
+            CPPUNIT_ASSERT(!job.isGivenUp());
+            job.crashUnanswered();
+            job.awaitDecision();
+        }
+        CPPUNIT_ASSERT(job.isGivenUp());
+    }
+
+    void youngRunIsSuspectedBesideAStartThatMayNotHaveArrived()
+    {
+        const RunId unanswered{{JobId("unanswered"), 0, 0, 0}, 1};
+        const RunId young{{JobId("young"), 0, 0, 0}, 1};
+        batch::ExecutorLoss loss;
+        loss.runs_ = {{unanswered, std::nullopt}, {young, 500ms}, {{{JobId("old"), 0, 0, 0}, 1}, 10s}};
+        loss.runs_[0].hasBegun_ = false;
+        CPPUNIT_ASSERT((std::vector<RunId>{unanswered, young}) == batch::likelyCauses(loss));
+        loss.runs_[0].hasBegun_ = true;
+        CPPUNIT_ASSERT(std::vector<RunId>{unanswered} == batch::likelyCauses(loss));
+    }
+
     void isolationAfterTheCrashOfAFormerLeadersRunEndsEarly()
     {
         CrashedJob job(60s);
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(repeatedCrashingJobIsGivenUp);
     CPPUNIT_TEST(taskThatCrashesLateIsGivenUp);
     CPPUNIT_TEST(soundTasksOutlastCrashingExecutors);
+    CPPUNIT_TEST(taskOutlastsCrashesBeforeItsStartArrives);
     CPPUNIT_TEST(runThatIsFirstListedWhileItIsStoppedIsNotCleared);
     CPPUNIT_TEST(largeJobOutlastsLossOfAllExecutors);
     CPPUNIT_TEST(lossOfAllExecutorsMakesNoTaskWaitForIsolation);
@@ -241,6 +242,27 @@
         }
     }
 
+    void taskOutlastsCrashesBeforeItsStartArrives()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Cluster cluster(11, seed);
+            cluster.run(12s);
+            batch::Submission job = makeJob("sound", 1, {4'000, 9'000, 1}, 3s);
+            job.steps_[0].constraint_ = "rack-0"; // hosts 0 to 2
+            for (std::size_t host = 0; host < 2; ++host) {
+                cluster.crashExecutor(host, 1'200ms, false, true);
+                cluster.run(100ms);
+                if (host == 0) {
+                    cluster.submit(job);
+                }
+                cluster.run(900ms);
+            }
+            cluster.run(20s);
+            CPPUNIT_ASSERT(cluster.violations().empty());
+            CPPUNIT_ASSERT_EQUAL(static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster.state(JobId("sound"))));
+        }
+    }
+
     void runThatIsFirstListedWhileItIsStoppedIsNotCleared()
     {
         batch::ClusterState cluster;
