Losses: an announced leave hides no crash of a suspected task that has just begun

Cause: the loss of an executor that had announced its end, or drained, counted for no task at all. The announcement may come right before the crash, or after it.

Mend: of an executor that is leaving, the runs that were listed for less than 2 s, or never, are counted if their task was a likely cause of a crash before, with unknown survival: given up by evidence from the fourth on. All other runs count for nothing. That it leaves is kept for the life of its incarnation. Such a loss isn't part of the rate at which executors crash. New in the log: how=left.

Tried and dropped: counting it for tasks without a former suspicion too.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -95,6 +95,7 @@
     bool responsive_ = true; ///< it answers its agent's calls
     Instant unresponsiveSince_{}; ///< when responsive_ last became false
     bool lost_ = false; ///< the loss of its current incarnation has been recorded
+    bool isLeaving_ = false; ///< its current incarnation has announced its end, or drains; later heartbeats don't take that back
     Instant lastReport_{};
     Duration listedAt_{}; ///< when its lists were made, on the agent's clock
     Instant lastPermit_{}; ///< when a directive with a permit to extend leases was last sent
--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -66,7 +66,15 @@
 
 const char *toString(LossKind kind)
 {
-    return kind == LossKind::Crashed ? "crashed" : "unreachable";
+    switch (kind) {
+    case LossKind::Crashed:
+        return "crashed";
+    case LossKind::Left:
+        return "left";
+    case LossKind::Unreachable:
+        break;
+    }
+    return "unreachable";
 }
 
 std::string describe(const LostRun &run)
@@ -109,12 +117,19 @@
     crashes.lastCounted_ = true;
 }
 
+/// Returns whether the task at \p index was a likely cause of a crash before.
+bool isSuspected(const Job &job, std::size_t index)
+{
+    const auto crashes = job.crashes_.find(index);
+    return crashes != job.crashes_.end() && crashes->second.suspected_ > 0;
+}
+
 /// Counts the loss for the task of \p run. Returns the task's crashes, or a null pointer if its job has ended or the loss has been counted.
 TaskCrashes *countFor(ClusterState &cluster, const ExecutorLoss &loss, const LostRun &run, bool isCause)
 {
     Job &job = cluster.jobs_.at(run.id_.task_.job_);
     const auto index = indexOf(job.submission_, run.id_.task_);
-    if (!index || isFinal(job.progress_.state_)) {
+    if (!index || isFinal(job.progress_.state_) || (loss.kind_ == LossKind::Left && !(isCause && isSuspected(job, *index)))) {
         return nullptr;
     }
     TaskCrashes &crashes = job.crashes_[*index];
@@ -304,6 +319,12 @@
         const bool listed = run.listedAt_ != Duration(0);
         const Duration survival = std::max<Duration>(executor.listedAt_ - run.listedAt_, milliseconds(1));
         const bool hasBegun = listed || unlisted.accepted_.contains(id);
+        if (kind == LossKind::Left) {
+            if (!listed || survival < likelyCauseWindow) {
+                loss.runs_.push_back({id, listed ? std::optional(survival) : std::nullopt, run.isolated_, cluster.now_ - run.startedAt_, hasBegun});
+            }
+            continue;
+        }
         loss.runs_.push_back({id, listed ? std::optional(survival) : std::nullopt, run.isolated_, boundOfSurvival(cluster, executor, run, hasBegun), hasBegun});
     }
     return loss;
--- a/src/core/batch/crashes.h
+++ b/src/core/batch/crashes.h
@@ -14,6 +14,7 @@
 /// How an executor was lost.
 enum class LossKind : std::uint8_t {
     Crashed, ///< its process is gone, or a later incarnation answers in its place
+    Left, ///< it had announced its end, and may have crashed before that
     Unreachable, ///< nothing was heard of it until all leases had expired; only its next incarnation can show whether it crashed
 };
 
@@ -49,7 +50,7 @@
 [[nodiscard]] LossKind lossKindOf(const Executor &executor, const Report &report) noexcept;
 
 /// Returns the loss of \p executor with the runs that its current incarnation held, without refused ones and those for which the loss has been
-/// recorded.
+/// recorded. Of an executor that had left only runs that had just begun, or may have: others ended with it.
 [[nodiscard]] ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const UnlistedStarts &unlisted = {});
 
 /// Returns the runs that probably caused \p loss: an isolated one, else those that had begun but were never listed, else the youngest if they had been
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -181,21 +181,22 @@
 
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor)
 {
-    if (executor.info_.hasLeft_ || executor.info_.draining_) {
-        return;
-    }
-    const ExecutorLoss loss = lossOf(cluster, executor, LossKind::Crashed);
-    if (!executor.lost_ || !loss.runs_.empty()) {
+    const ExecutorLoss loss = lossOf(cluster, executor, executor.isLeaving_ ? LossKind::Left : LossKind::Crashed);
+    if ((!executor.lost_ && loss.kind_ != LossKind::Left) || !loss.runs_.empty()) {
         recordLoss(cluster, executor, loss);
     }
 }
 
 void recordReportedLoss(ClusterState &cluster, Executor &executor, const Report &report)
 {
-    if (!reportsLoss(cluster, report) || executor.lost_ || executor.info_.hasLeft_ || executor.info_.draining_) {
+    if (!reportsLoss(cluster, report) || executor.lost_) {
         return;
     }
-    recordLoss(cluster, executor, lossOf(cluster, executor, lossKindOf(executor, report), unlistedStarts(cluster, report)));
+    const LossKind kind = executor.isLeaving_ ? LossKind::Left : lossKindOf(executor, report);
+    const ExecutorLoss loss = lossOf(cluster, executor, kind, unlistedStarts(cluster, report));
+    if (kind != LossKind::Left || !loss.runs_.empty()) {
+        recordLoss(cluster, executor, loss);
+    }
 }
 
 void carryOverToCurrentIncarnation(ClusterState &cluster, Executor &executor)
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -260,6 +260,7 @@
             recordEndOfIncarnation(cluster, executor);
         }
         executor.lost_ = false;
+        executor.isLeaving_ = false;
         executor.listed_ = false;
         executor.firstListedAt_ = Instant();
         executor.orphans_.clear();
@@ -293,6 +294,7 @@
         executor.unresponsiveSince_ = cluster.now_;
     }
     executor.info_ = report.executor_;
+    executor.isLeaving_ = executor.isLeaving_ || executor.info_.hasLeft_ || executor.info_.draining_;
     executor.agent_ = report.agent_;
     executor.responsive_ = report.responsive_;
     executor.reported_ = true;
--- a/tests/random/batch_incident_test.cpp
+++ b/tests/random/batch_incident_test.cpp
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(lateFencingPollLetsNoLateStartThrough);
     CPPUNIT_TEST(frozenAgentRetriesNoSettledStart);
     CPPUNIT_TEST(lateHeartbeatDoesNotRefreshTheCapacity);
+    CPPUNIT_TEST(leaveHidesNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +154,12 @@
         playSeeds({3284, 1}, draw);
     }
 
+    void leaveHidesNoCrash()
+    {
+        playSeeds({50591, 1}, draw);
+        playSeeds({50846, 1}, draw);
+    }
+
 private:
     template<class DrawIncident>
     static void playSeeds(SeedRange range, DrawIncident drawOne, const std::vector<std::string> &judgedRules = {})
--- a/tests/unit/batch_crash_evidence_test.cpp
+++ b/tests/unit/batch_crash_evidence_test.cpp
@@ -68,6 +68,22 @@
         bench_.advanceTime(200ms);
     }
 
+    /// Has the executor of the job's task announce its end and be replaced at once. If \p hasHeartbeat, a heartbeat comes in between.
+    void endLeaving(bool hasHeartbeat = false)
+    {
+        batch::Report &report = bench_.report(bench_.executorOf(currentRun()).value());
+        report.executor_.hasLeft_ = true;
+        bench_.advanceTime(100ms);
+        if (hasHeartbeat) {
+            report.executor_.hasLeft_ = false;
+            bench_.advanceTime(100ms);
+        }
+        report.running_.clear();
+        report.executor_.hasLeft_ = false;
+        ++report.executor_.incarnation_.startTimeMs_;
+        bench_.advanceTime(200ms);
+    }
+
     /// Replaces the leader, as soon as its records are stored.
     void replaceLeader()
     {
@@ -114,6 +130,8 @@
     CPPUNIT_TEST(startsThatMayNotHaveArrivedAreWeakEvidence);
     CPPUNIT_TEST(taskIsGivenUpAfterFourCrashesBeforeItsStartWasAnswered);
     CPPUNIT_TEST(youngRunIsSuspectedBesideAStartThatMayNotHaveArrived);
+    CPPUNIT_TEST(crashesOfLeavingExecutorsAreCounted);
+    CPPUNIT_TEST(endsOfLeavingExecutorsAreNoCrashesOfOlderRuns);
     CPPUNIT_TEST(isolationAfterTheCrashOfAFormerLeadersRunEndsEarly);
     CPPUNIT_TEST(taskIsGivenUpAfterFiveCrashesThatNoLeaderSaw);
     CPPUNIT_TEST(lastCrashIsDecidedOnByTheNextLeader);
@@ -226,6 +244,33 @@
         CPPUNIT_ASSERT(std::vector<RunId>{unanswered} == batch::likelyCauses(loss));
     }
 
+    void crashesOfLeavingExecutorsAreCounted()
+    {
+        CrashedJob job(60s);
+        job.endLeaving();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, job.crashes()); // nothing else speaks against its task yet
+        job.crash();
+        for (std::uint32_t crashes = 2; crashes <= 4; ++crashes) {
+            job.awaitDecision();
+            CPPUNIT_ASSERT(!job.isGivenUp());
+            job.endLeaving();
+            CPPUNIT_ASSERT_EQUAL(crashes, job.crashes());
+        }
+        job.awaitDecision();
+        CPPUNIT_ASSERT(job.isGivenUp());
+    }
+
+    void endsOfLeavingExecutorsAreNoCrashesOfOlderRuns()
+    {
+        CrashedJob job(60s);
+        for (int end = 0; end < 6; ++end) {
+            job.bench_.advanceWithProgress(3s);
+            job.endLeaving(end % 2 == 0);
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, job.crashes());
+        }
+        CPPUNIT_ASSERT(!job.isGivenUp());
+    }
+
     void isolationAfterTheCrashOfAFormerLeadersRunEndsEarly()
     {
         CrashedJob job(60s);
