Isolation: bounded in time, in the share of executors and by evidence

Cause: a task with two crashes was isolated even if it was never a likely cause of one, and nothing starts beside an isolated run until that has outlived its former runs twice. For a service that had been at work for an hour that is two hours, and nothing bounded how many executors such tasks kept for themselves.

Mend: three bounds. Time: a run keeps others off for 10 s from its first listing at most. Share: of the reporting executors a quarter is reserved at most, or one, where isolated runs began last; where another task starts beside one, its isolation ends, and its executor's crash has several suspects again. Evidence: without a former suspicion a task is isolated only if its crashes came equally long after its start (within a second and a quarter of that time), as those of a task that crashes late do, or if it isn't known how long, which isolates for a second. When crashes are forgotten is as before: only after twice the former life.

Ruled out: no isolation without a former suspicion. A task that crashes its executors after 3 s would then take five of them (taskThatCrashesLateIsGivenUp allows four).

--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -465,7 +465,7 @@
     const auto crashes = job.crashes_.find(index);
     const Duration survival = executor.listedAt_ - run.listedAt_;
     const bool isKnown = crashes != job.crashes_.end() && crashes->second.knowsSurvivals();
-    if (run.listedAt_ == Duration(0) || !hasOutlasted(survival, isKnown ? crashes->second.longestSurvival_ : milliseconds(0))) {
+    if (run.listedAt_ == Duration(0) || !isIsolationOver(survival, isKnown ? crashes->second.longestSurvival_ : milliseconds(0))) {
         return;
     }
     if (run.isolated_) {
--- a/src/core/batch/isolation.cpp
+++ b/src/core/batch/isolation.cpp
@@ -12,12 +12,28 @@
 /// How long suspected tasks wait for an executor of their own.
 constexpr milliseconds maxWaitForIsolation{1'500};
 
-/// Number of crashes from which a task is suspected, even if it was never a likely cause.
+/// Longest time from a run's first listing in which it keeps others off its executor.
+constexpr milliseconds maxIsolation{10'000};
+
+/// At most one in this many of the reporting executors is reserved, or one.
+constexpr std::size_t executorsPerReserved = 4;
+
+/// Number of crashes from which a task is suspected, even if it was never a likely cause, if all came about equally long after its start.
 constexpr std::uint32_t suspectedCrashes = 2;
 
+/// Such crashes come at most this much, and this part of the shortest time, apart.
+constexpr milliseconds similarTime{1'000};
+constexpr int similarPart = 4;
+
 /// Number of suspected tasks from which the other tasks of their job are suspected as well.
 constexpr std::size_t suspectsOfSuspectedJob = 2;
 
+/// Returns whether executors crashed about equally long after the start of the task with \p crashes, or it isn't known how long.
+bool areSimilar(const TaskCrashes &crashes)
+{
+    return !crashes.knowsSurvivals() || crashes.longestSurvival_ - crashes.shortestSurvival_ <= similarTime + crashes.shortestSurvival_ / similarPart;
+}
+
 /// Returns how many suspected tasks of \p job run and haven't survived for long enough to end their isolation.
 std::size_t countSuspectedRuns(const ClusterState &cluster, const Job &job)
 {
@@ -41,15 +57,54 @@
 {
     const auto crashes = job.crashes_.find(index);
     if (crashes != job.crashes_.end()) {
-        return crashes->second.suspected_ > 0 || crashes->second.crashes_ >= suspectedCrashes;
+        return crashes->second.suspected_ > 0 || (crashes->second.crashes_ >= suspectedCrashes && areSimilar(crashes->second));
     }
     const auto suspects = std::count_if(job.crashes_.begin(), job.crashes_.end(), [](const auto &entry) { return entry.second.suspected_ > 0; });
     return static_cast<std::size_t>(suspects) >= suspectsOfSuspectedJob && job.progress_.tasks_[index].run_ == 0;
 }
 
-bool isReservedForIsolation(const ClusterState &cluster, const Executor &executor)
+std::set<ExecutorId> executorsReservedForIsolation(const ClusterState &cluster)
+{
+    if (cluster.jobsWithCrashes_.empty()) {
+        return {}; // the usual case
+    }
+    std::vector<std::pair<Instant, ExecutorId>> isolating; // with the start of the last isolated run
+    std::size_t reporting = 0;
+    for (const auto &[id, executor] : cluster.executors_) {
+        if (cluster.now_ - executor.lastReport_ >= reportTimeout) {
+            continue;
+        }
+        ++reporting;
+        std::optional<Instant> last;
+        for (const RunId &run : executor.runs_) {
+            const Run &known = cluster.runs_.at(run);
+            if (known.isolated_) {
+                last = std::max(last.value_or(known.startedAt_), known.startedAt_);
+            }
+        }
+        if (last) {
+            isolating.emplace_back(*last, id);
+        }
+    }
+    std::sort(isolating.rbegin(), isolating.rend());
+    isolating.resize(std::min(isolating.size(), std::max<std::size_t>(1, reporting / executorsPerReserved)));
+    std::set<ExecutorId> reserved;
+    for (const auto &[start, id] : isolating) {
+        reserved.insert(id);
+    }
+    return reserved;
+}
+
+void endIsolationOn(ClusterState &cluster, const Executor &executor)
+{
+    for (const RunId &run : executor.runs_) {
+        cluster.runs_.at(run).isolated_ = false;
+    }
+}
+
+bool isIsolationOver(Duration survival, milliseconds longest) noexcept
 {
-    return std::any_of(executor.runs_.begin(), executor.runs_.end(), [&cluster](const RunId &run) { return cluster.runs_.at(run).isolated_; });
+    return survival >= maxIsolation || hasOutlasted(survival, longest);
 }
 
 bool isSettled(const ClusterState &cluster, const Executor &executor)
--- a/src/core/batch/isolation.h
+++ b/src/core/batch/isolation.h
@@ -2,6 +2,8 @@
 
 #include "core/batch/queueing.h"
 
+#include <set>
+
 namespace bergamotwick::batch {
 
 /// Isolated starts: a task that may have crashed an executor starts again where nothing else has started recently, and nothing else starts
@@ -11,8 +13,15 @@
 /// Returns whether the task at \p index must start in isolation.
 [[nodiscard]] bool needsIsolation(const Job &job, std::size_t index);
 
-/// Returns whether an isolated run keeps other tasks off \p executor.
-[[nodiscard]] bool isReservedForIsolation(const ClusterState &cluster, const Executor &executor);
+/// Returns the executors that isolated runs keep other tasks off: a share of the reporting ones at most, those whose isolated runs began last.
+[[nodiscard]] std::set<ExecutorId> executorsReservedForIsolation(const ClusterState &cluster);
+
+/// Ends the isolation of all runs on \p executor, beside which another task is to start.
+void endIsolationOn(ClusterState &cluster, const Executor &executor);
+
+/// Returns whether an isolated run that was seen alive for \p survival no longer keeps others off its executor: it has outlasted runs of its task
+/// that ended with a crash, the longest after \p longest, or has had an executor of its own for long enough. Thread-safe.
+[[nodiscard]] bool isIsolationOver(Duration survival, milliseconds longest) noexcept;
 
 /// Returns whether all runs on \p executor have been listed for so long that none of them would be the likely cause of its crash.
 [[nodiscard]] bool isSettled(const ClusterState &cluster, const Executor &executor);
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -185,12 +185,13 @@
 std::vector<Executor *> findCandidates(ClusterState &cluster, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
+    const std::set<ExecutorId> reserved = executorsReservedForIsolation(cluster);
     std::vector<Executor *> found;
     for (auto &[id, executor] : cluster.executors_) {
         const auto &labels = executor.info_.labels_;
         const bool hasLabel = step.constraint_.empty() || std::find(labels.begin(), labels.end(), step.constraint_) != labels.end();
         if (hasLabel && isSchedulable(cluster, executor, group.job_->submission_.service_) && !wouldInterfere(cluster, executor, step)
-            && !isReservedForIsolation(cluster, executor)) {
+            && !reserved.contains(id)) {
             found.push_back(&executor);
         }
     }
@@ -217,6 +218,7 @@
     used.reserve(placement.size());
     for (const auto &[index, incarnation] : placement) {
         used.push_back(incarnation);
+        endIsolationOn(cluster, cluster.executors_.at(incarnation.executor_));
     }
     if (placement.size() == group.tasks_.size()) {
         job.waitingSince_.erase(group.group_.first_);
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(crashingBackfillTaskIsGivenUp);
     CPPUNIT_TEST(repeatedCrashingJobIsGivenUp);
     CPPUNIT_TEST(taskThatCrashesLateIsGivenUp);
+    CPPUNIT_TEST(taskThatCrashesAfterItsIsolationIsGivenUp);
     CPPUNIT_TEST(soundTasksOutlastCrashingExecutors);
     CPPUNIT_TEST(taskOutlastsCrashesBeforeItsStartArrives);
     CPPUNIT_TEST(runThatIsFirstListedWhileItIsStoppedIsNotCleared);
@@ -218,6 +219,13 @@
         CrashScenario({.after_ = 3s}, makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 60s)).expectGivenUp(maxCrashesOfOneTask);
     }
 
+    void taskThatCrashesAfterItsIsolationIsGivenUp()
+    {
+        CrashScenario scenario({.after_ = 15s}, makeJob(crashingJob.str(), 1, {4'000, 9'000, 2}, 150s));
+        scenario.cluster_.run(60s);
+        scenario.expectGivenUp(maxCrashesOfAnyTask);
+    }
+
     void soundTasksOutlastCrashingExecutors()
     {
         for (std::uint64_t seed = 1; seed <= 30; ++seed) {
