Losses: an executor that goes on after its announced end may crash under a task without a former suspicion

Cause: that an executor is leaving is kept for its life since, and its loss speaks only against tasks that were a likely cause before. An announcement that wasn't acknowledged lets it go on for seconds, heartbeats follow, and new work is started there.

Mend: where heartbeats have followed the announcement, runs that had just begun are counted without a former suspicion too, as weak evidence.

--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -110,6 +110,18 @@
     return isKnown ? std::nullopt : std::optional(cluster.now_ - run.startedAt_);
 }
 
+/// Returns whether the end of \p executor, which had announced it, may speak against the task of \p run: it was a likely cause of a crash before, or
+/// the executor went on after its announcement.
+bool mayBlame(const ClusterState &cluster, const Executor &executor, const RunId &run)
+{
+    if (!executor.info_.hasLeft_ && !executor.info_.draining_) {
+        return true;
+    }
+    const Job &job = cluster.jobs_.at(run.task_.job_);
+    const auto crashes = job.crashes_.find(*indexOf(job.submission_, run.task_));
+    return crashes != job.crashes_.end() && crashes->second.suspected_ > 0;
+}
+
 void count(TaskCrashes &crashes)
 {
     ++crashes.crashes_;
@@ -117,19 +129,12 @@
     crashes.lastCounted_ = true;
 }
 
-/// Returns whether the task at \p index was a likely cause of a crash before.
-bool isSuspected(const Job &job, std::size_t index)
-{
-    const auto crashes = job.crashes_.find(index);
-    return crashes != job.crashes_.end() && crashes->second.suspected_ > 0;
-}
-
 /// Counts the loss for the task of \p run. Returns the task's crashes, or a null pointer if its job has ended or the loss has been counted.
 TaskCrashes *countFor(ClusterState &cluster, const ExecutorLoss &loss, const LostRun &run, bool isCause)
 {
     Job &job = cluster.jobs_.at(run.id_.task_.job_);
     const auto index = indexOf(job.submission_, run.id_.task_);
-    if (!index || isFinal(job.progress_.state_) || (loss.kind_ == LossKind::Left && !(isCause && isSuspected(job, *index)))) {
+    if (!index || isFinal(job.progress_.state_) || (loss.kind_ == LossKind::Left && !isCause)) {
         return nullptr;
     }
     TaskCrashes &crashes = job.crashes_[*index];
@@ -320,7 +325,7 @@
         const Duration survival = std::max<Duration>(executor.listedAt_ - run.listedAt_, milliseconds(1));
         const bool hasBegun = listed || unlisted.accepted_.contains(id);
         if (kind == LossKind::Left) {
-            if (!listed || survival < likelyCauseWindow) {
+            if ((!listed || survival < likelyCauseWindow) && mayBlame(cluster, executor, id)) {
                 loss.runs_.push_back({id, listed ? std::optional(survival) : std::nullopt, run.isolated_, cluster.now_ - run.startedAt_, hasBegun});
             }
             continue;
--- a/tests/unit/batch_crash_evidence_test.cpp
+++ b/tests/unit/batch_crash_evidence_test.cpp
@@ -131,6 +131,7 @@
     CPPUNIT_TEST(taskIsGivenUpAfterFourCrashesBeforeItsStartWasAnswered);
     CPPUNIT_TEST(youngRunIsSuspectedBesideAStartThatMayNotHaveArrived);
     CPPUNIT_TEST(crashesOfLeavingExecutorsAreCounted);
+    CPPUNIT_TEST(crashesAfterAnAnnouncementWithoutAnEndAreCounted);
     CPPUNIT_TEST(endsOfLeavingExecutorsAreNoCrashesOfOlderRuns);
     CPPUNIT_TEST(isolationAfterTheCrashOfAFormerLeadersRunEndsEarly);
     CPPUNIT_TEST(taskIsGivenUpAfterFiveCrashesThatNoLeaderSaw);
@@ -260,6 +261,18 @@
         CPPUNIT_ASSERT(job.isGivenUp());
     }
 
+    void crashesAfterAnAnnouncementWithoutAnEndAreCounted()
+    {
+        CrashedJob job(60s);
+        for (std::uint32_t crashes = 1; crashes <= 4; ++crashes) {
+            CPPUNIT_ASSERT(!job.isGivenUp());
+            job.endLeaving(true);
+            CPPUNIT_ASSERT_EQUAL(crashes, job.crashes());
+            job.awaitDecision();
+        }
+        CPPUNIT_ASSERT(job.isGivenUp());
+    }
+
     void endsOfLeavingExecutorsAreNoCrashesOfOlderRuns()
     {
         CrashedJob job(60s);
