Isolation: up to half of the executors may be reserved

Cause: on fleets of two to eight executors a quarter is one or two; other work starts beside most suspected tasks, and the crash of their executor says little about its cause.

Mend: half of the reporting executors, rounded up. isolatedTasksReserveAShareOfTheExecutors names four of eight instead of two; it is as strict about all else.

The 45 crash and isolation tests and allWorkBeginsAfterCrashesUnderLastingTasks pass (-O2, trial build).

--- a/src/core/batch/isolation.cpp
+++ b/src/core/batch/isolation.cpp
@@ -15,8 +15,8 @@
 /// Longest time from a run's first listing in which it keeps others off its executor.
 constexpr milliseconds maxIsolation{10'000};
 
-/// At most one in this many of the reporting executors is reserved, or one.
-constexpr std::size_t executorsPerReserved = 4;
+/// At most one in this many of the reporting executors is reserved, rounded up.
+constexpr std::size_t executorsPerReserved = 2;
 
 /// Number of crashes from which a task is suspected, even if it was never a likely cause, if all came about equally long after its start.
 constexpr std::uint32_t suspectedCrashes = 2;
@@ -87,7 +87,7 @@
         }
     }
     std::sort(isolating.rbegin(), isolating.rend());
-    isolating.resize(std::min(isolating.size(), std::max<std::size_t>(1, reporting / executorsPerReserved)));
+    isolating.resize(std::min(isolating.size(), (reporting + executorsPerReserved - 1) / executorsPerReserved));
     std::set<ExecutorId> reserved;
     for (const auto &[start, id] : isolating) {
         reserved.insert(id);
