--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -179,7 +179,10 @@
             run->second.hasEnded_ = true;
             continue; // its task is to be started again: not while its former start may be carried out
         }
-        const bool mayStartLate = std::find(report.starting_.begin(), report.starting_.end(), end.run_) != report.starting_.end();
+        // A new leader doesn't know the run of an end that a former one has stored; nor does a new process of the agent know its calls.
+        const bool isUnknown = run == cluster.runs_.end() && report.sequence_ < informedSequence;
+        const bool isReportedLate = std::find(report.starting_.begin(), report.starting_.end(), end.run_) != report.starting_.end();
+        const bool mayStartLate = isUnknown || isReportedLate;
         const Instant notBefore = mayStart ? run->second.mayStartUntil_ : mayStartLate ? cluster.now_ + maxCallDelay : Instant();
         if (run != cluster.runs_.end() && run->second.placement_ == executor.info_.incarnation_) {
             applyEnd(cluster, executor, end);
--- a/tests/unit/batch_ends_test.cpp
+++ b/tests/unit/batch_ends_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(acknowledgementOutlastsTheAgentThatKnowsOfALateStart);
     CPPUNIT_TEST(newLeaderHoldsEndsOfAnAgentThatDoesNotKnowAllCalls);
     CPPUNIT_TEST(newLeaderActsOnEndsOfAnAgentThatKnowsAllCalls);
+    CPPUNIT_TEST(endThatAFormerLeaderHasStoredIsNotAcknowledgedToAnAgentThatDoesNotKnowAllCalls);
     CPPUNIT_TEST(provisionalFailureWaits);
     CPPUNIT_TEST(provisionalSuccessCountsAtOnce);
     CPPUNIT_TEST(agentThatKnowsNoExecutorIsToldOfTheFormerOne);
@@ -409,6 +410,21 @@
         CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
     }
 
+    void endThatAFormerLeaderHasStoredIsNotAcknowledgedToAnAgentThatDoesNotKnowAllCalls()
+    {
+        LeaderBench bench(2);
+        const RunId run = bench.submitAndStart(makeJob("job", 1, smallDemand, 60s)).at(0);
+        const std::size_t executor = *bench.executorOf(run);
+        bench.report(executor).sequence_ = 0;
+        bench.endRun(run, batch::EndKind::Done);
+        bench.advanceTime(300ms);
+        bench.replaceLeaderWithRecords(1s);
+        bench.advanceTime(11s);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+    }
+
     void provisionalFailureWaits()
     {
         LeaderBench bench(2);
