--- a/tests/random/batch_incident_test.cpp
+++ b/tests/random/batch_incident_test.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST_SUITE(BatchIncidentTest);
     CPPUNIT_TEST(guaranteesHoldUnderOverlappingFaults);
     CPPUNIT_TEST(noTaskRunsTwiceWhileExecutorsStartAgainUnderTheirIds);
+    CPPUNIT_TEST(noTaskRunsTwiceOnRebornExecutorsOfPastDays);
     CPPUNIT_TEST(guaranteesHoldWhileConnectionsAreRefused);
     CPPUNIT_TEST(lateDuplicateOfAnEndedRunReachesNoNextExecutor);
     CPPUNIT_TEST(lateFencingPollLetsNoLateStartThrough);
@@ -125,6 +126,15 @@
         playSeeds(seedRange(), drawRebirths, {"TWICE", "UNASKED", "ORDER", "MIXED", "LOST", "ROUTE"});
     }
 
+    /// Days that broke TWICE: an end is acknowledged by an agent that has started again, also under a new leader; a new leader takes a lease as over
+    /// too early; a repeated stop settles a late start; old lists show a run as ended or missing; an untracked end is acknowledged at once.
+    void noTaskRunsTwiceOnRebornExecutorsOfPastDays()
+    {
+        for (const std::uint64_t seed : {306711, 310583, 305363, 310608, 313544, 310033, 305403, 311480, 307855, 312586, 306461}) {
+            playSeeds({seed, 1}, drawRebirths, {"TWICE"});
+        }
+    }
+
     void guaranteesHoldWhileConnectionsAreRefused()
     {
         playSeeds({firstSeed, refusalSeedCount}, [](std::uint64_t seed) {
