--- a/tests/model/world_calls.cpp
+++ b/tests/model/world_calls.cpp
@@ -352,7 +352,7 @@
     if (const auto *failure = std::get_if<batch::PollFailed>(&result)) {
         return hosts_[index].agent_->pollRetryDelay(now_, failure->refused_);
     }
-    return std::get<batch::PollAnswered>(result).ended_.empty() ? 0ms : hosts_[index].agent_->pollDelayAfterEnds(now_);
+    return std::get<batch::PollAnswered>(result).ended_.empty() ? 0ms : hosts_[index].agent_->pollDelayAfterEnds();
 }
 
 }
