--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -253,7 +253,8 @@
     if (!cluster.mayIssueOrders()) {
         return; // agents may be silent because they report to another leader
     }
-    for (auto &[id, executor] : cluster.executors_) {
+    for (auto &entry : cluster.executors_) {
+        Executor &executor = entry.second;
         if (executor.runs_.empty()) {
             continue;
         }
