One predicate for held ends, one for agents that know all calls; no walk over all jobs

Found by reading the change once more; behaviour stays. Comments of functions that take a report say what it must hold.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -101,8 +101,7 @@
 
 milliseconds AgentCore::pollDelayAfterEnds() const
 {
-    const bool areAllHeld
-        = !ended_.empty() && std::all_of(ended_.begin(), ended_.end(), [this](const EndedRun &end) { return orders_.mayStartLate(listsSentAt_, end.run_); });
+    const bool areAllHeld = !ended_.empty() && std::all_of(ended_.begin(), ended_.end(), [this](const EndedRun &end) { return mayStartAgain(end); });
     return areAllHeld ? pollDelayWhileEndsAreHeld : pollDelayUntilAcknowledged;
 }
 
@@ -111,6 +110,12 @@
     return {polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
 }
 
+/// Returns whether a call of the start of the run that \p end belongs to may have been carried out after the lists with the end were made.
+bool AgentCore::mayStartAgain(const EndedRun &end) const
+{
+    return orders_.mayStartLate(listsSentAt_, end.run_);
+}
+
 /// Returns the number up to which the next poll acknowledges ends, or 0 if it has none to acknowledge. A run must not end for good before lists that were
 /// requested after its start could be carried out show the end. A poll that is held up may reach the next incarnation, whose ends are numbered anew: so none
 /// acknowledges needlessly.
@@ -121,7 +126,7 @@
     }
     std::int64_t number = acknowledged_;
     for (const EndedRun &end : ended_) {
-        number = orders_.mayStartLate(listsSentAt_, end.run_) ? std::min(number, end.number_ - 1) : number;
+        number = mayStartAgain(end) ? std::min(number, end.number_ - 1) : number;
     }
     const bool isDue = std::any_of(ended_.begin(), ended_.end(), [number](const EndedRun &end) { return end.number_ <= number; });
     return isDue ? number : 0;
@@ -439,7 +444,7 @@
         return; // the answer to a later poll has already been processed
     }
     listsSentAt_ = answer.sentAt_;
-    const auto isHeld = [this](const EndedRun &end) { return orders_.mayStartLate(listsSentAt_, end.run_); };
+    const auto isHeld = [this](const EndedRun &end) { return mayStartAgain(end); };
     const bool hasEnds = !std::all_of(answer.ended_.begin(), answer.ended_.end(), isHeld) || answer.ended_.size() != ended_.size();
     const bool changed = !listsValid_ || answer.running_.size() != running_.size() || hasEnds;
     listsValid_ = true;
@@ -567,7 +572,7 @@
 void AgentCore::addEndsTo(Report &report) const
 {
     const bool isFull = ended_.size() >= maxEndsPerList;
-    const auto isHeld = [this](const EndedRun &end) { return end.kind_ != EndKind::Done && orders_.mayStartLate(listsSentAt_, end.run_); };
+    const auto isHeld = [this](const EndedRun &end) { return end.kind_ != EndKind::Done && mayStartAgain(end); };
     const auto firstHeld = std::find_if(ended_.begin(), ended_.end(), isHeld);
     std::copy_if(ended_.begin(), firstHeld, std::back_inserter(report.ended_), [&](const EndedRun &end) { return isFull || end.number_ > acknowledged_; });
     for (auto end = firstHeld; end != ended_.end(); ++end) {
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -158,6 +158,7 @@
     void pollNow();
     void hurryFencing();
     [[nodiscard]] PollCall pollCall(milliseconds wait);
+    [[nodiscard]] bool mayStartAgain(const EndedRun &end) const;
     [[nodiscard]] std::int64_t acknowledgement() const;
     [[nodiscard]] Instant emptyAt() const;
     [[nodiscard]] const Incarnation &polledIncarnation() const;
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -233,7 +233,6 @@
     Instant heardAt_{}; ///< when its last report arrived
     bool directiveDue_ = false;
     Instant restartedAt_{}; ///< when its reports began anew
-    bool knowsAllCalls_ = false; ///< as of its last report, it knows of all starts that may still be carried out
 };
 
 /// The leader's entire state, shared by its controllers.
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -173,12 +173,10 @@
 
 bool mayStartUnknown(const ClusterState &cluster, const Run &run, const Report &report)
 {
-    const auto executor = cluster.executors_.find(run.placement_.executor_);
-    const auto agent = executor == cluster.executors_.end() ? cluster.agents_.end() : cluster.agents_.find(executor->second.agent_);
-    if (agent == cluster.agents_.end() || agent->second.knowsAllCalls_ || evidenceTime(cluster, report) >= run.mayStartUntil_) {
+    if (knowsAllCalls(report) || evidenceTime(cluster, report) >= run.mayStartUntil_) {
         return false;
     }
-    return run.inherited_ || agent->second.restartedAt_ > run.startedAt_;
+    return run.inherited_ || cluster.agents_.at(report.agent_).restartedAt_ > run.startedAt_;
 }
 
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor)
@@ -241,7 +239,7 @@
 
 /// Returns when \p run is over if nothing is heard of \p executor. Its next incarnation may start the run by a call that was given up; a further such call
 /// may extend the lease then.
-Instant leaseEnd(const ClusterState &cluster, const Executor &executor, const Run &run)
+Instant silentRunEnd(const ClusterState &cluster, const Executor &executor, const Run &run)
 {
     const Instant end = leasesEnd(cluster, executor);
     const bool mayHaveStartedLate = executor.lastReport_ < run.mayStartUntil_;
@@ -264,7 +262,7 @@
         if (!executor.lost_) {
             recordLoss(cluster, executor, lossOf(cluster, executor, LossKind::Unreachable));
         }
-        settleRuns(cluster, executor, "lease-over", [&](const Run &run) { return cluster.now_ >= leaseEnd(cluster, executor, run); });
+        settleRuns(cluster, executor, "lease-over", [&](const Run &run) { return cluster.now_ >= silentRunEnd(cluster, executor, run); });
     }
 }
 
--- a/src/core/batch/inferred_ends.h
+++ b/src/core/batch/inferred_ends.h
@@ -7,7 +7,8 @@
 /// Ends of runs that no executor has listed. These functions alone decide that such a run has certainly ended: only then may its task start again
 /// and its resources be given away. Thread safety of all functions: none; one thread owns the cluster state.
 
-/// Settles the run of \p order, an order whose outcome the agent of \p executor has reported, unless it belongs to another incarnation.
+/// Settles the run of \p order, an order whose outcome the agent of \p executor tells in \p report, unless it belongs to another incarnation, or a former
+/// process of the agent may have called its start. Preconditions of this function and of those that take a report: its agent is known.
 void applySettledOrder(ClusterState &cluster, const Executor &executor, const Report &report, const SettledOrder &order);
 
 /// Settles runs that are missing from the executor's lists although it would list them if they were running or had ended.
@@ -24,7 +25,8 @@
 /// process of the agent has called it.
 [[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Run &run, const Report &report);
 
-/// Records that the incarnation of \p executor has ended, unless it announced its end or the loss of all its runs has been recorded.
+/// Records that the incarnation of \p executor has ended, unless the loss of all its runs has been recorded. If it had announced its end, only runs that
+/// had just begun count.
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor);
 
 /// Records the loss of the executor if \p report tells of it.
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -407,7 +407,7 @@
             if (!isStored || cluster_.now_ < end.notBefore_ || end.number_ >= executor.firstIgnoredEnd_.value_or(end.number_ + 1)) {
                 break;
             }
-            executor.acknowledged_ = ends[storedCount].number_;
+            executor.acknowledged_ = end.number_;
             ++storedCount;
         }
         ends.erase(ends.begin(), ends.begin() + static_cast<std::ptrdiff_t>(storedCount));
@@ -441,15 +441,18 @@
 std::vector<JobId> Leader::jobsToWrite() const
 {
     const std::set<JobId> busy = jobsInFlight();
+    const auto isDue = [&busy](const JobId &id, const Job &job) { return (job.needsWrite() || job.removing_) && !busy.contains(id); };
+    for (const JobId &id : writtenAlone_) {
+        if (isDue(id, cluster_.jobs_.at(id))) {
+            return {id};
+        }
+    }
     std::vector<JobId> jobs;
     for (const auto &[id, job] : cluster_.jobs_) {
-        if ((!job.needsWrite() && !job.removing_) || busy.contains(id)) {
-            continue;
-        }
-        if (writtenAlone_.contains(id)) {
-            return {id};
+        if (jobs.size() == maxWritesPerCommit) {
+            break;
         }
-        if (jobs.size() < maxWritesPerCommit) {
+        if (isDue(id, job)) {
             jobs.push_back(id);
         }
     }
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -161,6 +161,12 @@
     return !report.responsive_ && report.running_.empty() && report.ended_.empty();
 }
 
+/// Returns whether the agent that made \p report knows of all starts that may be carried out late. Thread-safe.
+[[nodiscard]] inline bool knowsAllCalls(const Report &report) noexcept
+{
+    return report.sequence_ >= informedSequence;
+}
+
 /// An order to start a run.
 struct StartOrder
 {
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -56,7 +56,7 @@
 
 bool Orders::mayHaveStarted(const Order &order, Instant now) const
 {
-    return order.unansweredAt_ || now < formerCallsUntil_;
+    return order.unansweredAt_ || !knowsAllCalls(now);
 }
 
 bool Orders::isUnanswered(const Order &order, Instant now)
@@ -96,7 +96,7 @@
     order.wantedAt_ = now;
     if (isNew) {
         order.start_ = start;
-        order.mayHaveFormerCalls_ = now < formerCallsUntil_;
+        order.mayHaveFormerCalls_ = !knowsAllCalls(now);
         order.phaseSince_ = now;
         order.callAt_ = now;
     }
@@ -107,7 +107,7 @@
     if (orders_.contains(run)) {
         return false;
     }
-    if (now < formerCallsUntil_) {
+    if (!knowsAllCalls(now)) {
         stop(now, run);
         return false;
     }
@@ -288,7 +288,7 @@
 /// Returns whether \p lists show that \p run, whose stop hasn't been carried out, has ended or has never started.
 bool Orders::hasEndedUnstopped(const RunId &run, const Order &order, const ListedRuns &lists) const
 {
-    const bool mayStart = order.hasStarted_ || lists.sentAt_ < formerCallsUntil_;
+    const bool mayStart = order.hasStarted_ || !knowsAllCalls(lists.sentAt_);
     const bool isMissing = lists.complete_ && lists.sentAt_ > order.phaseSince_ && !lists.running_.contains(run);
     return lists.ended_.contains(run) || (isMissing && !mayStart);
 }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -158,6 +158,19 @@
     }
 }
 
+/// Returns before when \p end, reported in \p report, must not be acknowledged: a call of its run's start may be carried out until then.
+Instant earliestAcknowledgement(const ClusterState &cluster, const Report &report, const EndedRun &end)
+{
+    const auto run = cluster.runs_.find(end.run_);
+    if (run != cluster.runs_.end() && mayStartUnknown(cluster, run->second, report)) {
+        return run->second.mayStartUntil_;
+    }
+    // A new leader doesn't know the run of an end that a former one has stored; nor does a new process of the agent know its calls.
+    const bool isUnknown = run == cluster.runs_.end() && !knowsAllCalls(report);
+    const bool isReportedLate = std::find(report.starting_.begin(), report.starting_.end(), end.run_) != report.starting_.end();
+    return isUnknown || isReportedLate ? cluster.now_ + maxCallDelay : Instant();
+}
+
 void applyEnds(ClusterState &cluster, Executor &executor, const Report &report)
 {
     executor.firstIgnoredEnd_.reset();
@@ -173,17 +186,12 @@
         }
         const JobId job = end.run_.task_.job_;
         const auto run = cluster.runs_.find(end.run_);
-        const bool mayStart = run != cluster.runs_.end() && mayStartUnknown(cluster, run->second, report);
-        if (mayStart && end.kind_ != EndKind::Done) {
+        if (end.kind_ != EndKind::Done && run != cluster.runs_.end() && mayStartUnknown(cluster, run->second, report)) {
             executor.firstIgnoredEnd_ = std::min(executor.firstIgnoredEnd_.value_or(end.number_), end.number_);
             run->second.hasEnded_ = true;
             continue; // its task is to be started again: not while its former start may be carried out
         }
-        // A new leader doesn't know the run of an end that a former one has stored; nor does a new process of the agent know its calls.
-        const bool isUnknown = run == cluster.runs_.end() && report.sequence_ < informedSequence;
-        const bool isReportedLate = std::find(report.starting_.begin(), report.starting_.end(), end.run_) != report.starting_.end();
-        const bool mayStartLate = isUnknown || isReportedLate;
-        const Instant notBefore = mayStart ? run->second.mayStartUntil_ : mayStartLate ? cluster.now_ + maxCallDelay : Instant();
+        const Instant notBefore = earliestAcknowledgement(cluster, report, end);
         if (run != cluster.runs_.end() && run->second.placement_ == executor.info_.incarnation_) {
             applyEnd(cluster, executor, end);
         } else {
@@ -366,7 +374,6 @@
         agent.restartedAt_ = cluster.now_;
     }
     agent.sequence_ = report.sequence_;
-    agent.knowsAllCalls_ = report.sequence_ >= informedSequence;
     agent.sentAt_ = report.sentAt_;
     agent.heardAt_ = cluster.now_;
     agent.executor_ = report.executor_.incarnation_.executor_;
