tests: what stood in several files stands once

expectNoViolation() stood in three test files, the executors' capacity in three, the wait for an acknowledgement or a settlement in several tests of BatchEndsTest. All assertions are kept.

--- a/tests/batch/cluster.h
+++ b/tests/batch/cluster.h
@@ -151,6 +151,9 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Capacity of each executor, unless it is changed.
+constexpr batch::ResourceVector executorCapacity{64'000, 131'072, 8};
+
 /// Demand that occupies all accelerators of an executor.
 constexpr batch::ResourceVector wholeExecutor{1'000, 1'000, 8};
 
--- a/tests/batch/cluster_hosts.cpp
+++ b/tests/batch/cluster_hosts.cpp
@@ -77,7 +77,7 @@
 void Cluster::Impl::judgeNewExecutor(const Host &host, const batch::ExecutorInfo &info)
 {
     batch::ExecutorInfo initial = info;
-    initial.capacity_ = executorCapacity();
+    initial.capacity_ = executorCapacity;
     judge_.executorUp(initial, now_);
     if (info.capacity_ != initial.capacity_) {
         judge_.capacityChanged(info.incarnation_, info.capacity_, host.shrunkAt_);
@@ -164,15 +164,15 @@
 void Cluster::Impl::shrink(std::size_t index, double factor, Duration length)
 {
     const auto scaled = [factor](std::int64_t amount) { return static_cast<std::int64_t>(static_cast<double>(amount) * factor); };
-    const batch::ResourceVector full = executorCapacity();
+    const batch::ResourceVector full = executorCapacity;
     Host &host = hosts_[index];
     host.capacity_ = {scaled(full.cpuMilli_), scaled(full.memoryMb_), scaled(full.accelerators_)};
     host.shrunkAt_ = now_;
     changeCapacity(index, host.capacity_);
     schedule(now_ + length, [this, index, shrinks = ++host.shrinks_] {
         if (hosts_[index].shrinks_ == shrinks) {
-            hosts_[index].capacity_ = executorCapacity();
-            changeCapacity(index, executorCapacity());
+            hosts_[index].capacity_ = executorCapacity;
+            changeCapacity(index, executorCapacity);
         }
     });
 }
--- a/tests/batch/cluster_impl.h
+++ b/tests/batch/cluster_impl.h
@@ -25,11 +25,6 @@
 constexpr int callThreads = 2; ///< of an agent: calls that it makes at the same time, apart from its polling loop
 constexpr Instant simulationStart{std::chrono::hours(1)};
 
-inline batch::ResourceVector executorCapacity()
-{
-    return {64'000, 131'072, 8};
-}
-
 struct Cluster::Impl
 {
     using Call = std::variant<batch::CallStart, batch::CallStop, batch::PollCall>;
@@ -82,7 +77,7 @@
         Instant leaderDelayedUntil_{};
         Instant lastReportArrival_{};
         Instant lastDirectiveArrival_{};
-        batch::ResourceVector capacity_ = executorCapacity(); ///< of its executors
+        batch::ResourceVector capacity_ = executorCapacity; ///< of its executors
         Instant shrunkAt_{};
         std::uint64_t shrinks_ = 0;
         Instant outOfTouchUntil_{};
--- a/tests/unit/batch_cluster_test.cpp
+++ b/tests/unit/batch_cluster_test.cpp
@@ -1,21 +1,11 @@
-#include "batch/cluster.h"
-#include "support/expect.h"
+#include "batch/expect_cluster.h"
 
 namespace bergamotwick::test {
 
 namespace {
 
-constexpr batch::ResourceVector executorCapacity{64'000, 131'072, 8};
-
 const JobId firstJob("first");
 
-void expectNoViolation(const Cluster &cluster)
-{
-    for (const std::string &violation : cluster.violations()) {
-        CPPUNIT_FAIL(violation);
-    }
-}
-
 void expectCompleted(const Cluster &cluster, const JobId &job)
 {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(job.str(), static_cast<int>(batch::JobState::Completed), static_cast<int>(cluster.state(job)));
--- a/tests/unit/batch_ends_test.cpp
+++ b/tests/unit/batch_ends_test.cpp
@@ -328,10 +328,10 @@
         bench.endRun(run, batch::EndKind::Failed);
         bench.advanceTime(11s);
         CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, acknowledged(bench, executor));
         bench.advanceTime(1'500ms);
         CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, acknowledged(bench, executor));
     }
 
     void successIsNotAcknowledgedWhileAFormerProcessMayHaveStartedItsRunAgain()
@@ -342,9 +342,9 @@
         bench.endRun(run, batch::EndKind::Done);
         bench.advanceTime(11s);
         CPPUNIT_ASSERT(bench.cluster().jobs_.at(JobId("job")).progress_.state_ == batch::JobState::Completed);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, acknowledged(bench, executor));
         bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, acknowledged(bench, executor));
     }
 
     void stopIsNotSettledWhileAFormerProcessMayHaveStartedItsRunAgain()
@@ -354,10 +354,7 @@
         batch::Report &report = bench.report(restartAgentWithOutstandingStart(bench, run));
         report.running_.clear();
         report.settled_ = {{run, batch::OrderOutcome::StopConfirmed}};
-        bench.advanceTime(11s);
-        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
-        bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        expectSettlementAfter(bench, run, 11s);
     }
 
     void restartOfAnAgentHoldsNoEndOfARunThatItsFormerProcessHadListed()
@@ -381,10 +378,7 @@
         bench.advanceTime(1s);
         bench.report(executor).sequence_ = 0;
         bench.report(executor).starting_.clear();
-        bench.advanceTime(10s);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
-        bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        expectAcknowledgementAfter(bench, executor, 10s);
     }
 
     void newLeaderHoldsEndsOfAnAgentThatDoesNotKnowAllCalls()
@@ -394,10 +388,7 @@
         bench.report(*bench.executorOf(run)).sequence_ = 0;
         bench.replaceLeaderWithRecords(1s);
         bench.endRun(run, batch::EndKind::Failed);
-        bench.advanceTime(15s);
-        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
-        bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        expectSettlementAfter(bench, run, 15s);
     }
 
     void newLeaderActsOnEndsOfAnAgentThatKnowsAllCalls()
@@ -419,10 +410,7 @@
         bench.endRun(run, batch::EndKind::Done);
         bench.advanceTime(300ms);
         bench.replaceLeaderWithRecords(1s);
-        bench.advanceTime(11s);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
-        bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.cluster().executors_.at(executorName(executor)).acknowledged_);
+        expectAcknowledgementAfter(bench, executor, 11s);
     }
 
     void provisionalFailureWaits()
@@ -498,9 +486,26 @@
         }
     }
 
-    static ExecutorId executorName(std::size_t executor)
+    /// Returns the number up to which the leader has acknowledged the ends of \p executor.
+    static std::int64_t acknowledged(const LeaderBench &bench, std::size_t executor)
     {
-        return ExecutorId("x" + std::to_string(executor));
+        return bench.cluster().executors_.at(ExecutorId("x" + std::to_string(executor))).acknowledged_;
+    }
+
+    static void expectAcknowledgementAfter(LeaderBench &bench, std::size_t executor, Duration wait)
+    {
+        bench.advanceTime(wait);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, acknowledged(bench, executor));
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, acknowledged(bench, executor));
+    }
+
+    static void expectSettlementAfter(LeaderBench &bench, const RunId &run, Duration wait)
+    {
+        bench.advanceTime(wait);
+        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
+        bench.advanceTime(1'500ms);
+        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
     }
 
     static void endProvisionally(batch::Report &report, const RunId &run, batch::EndKind kind)
@@ -514,10 +519,7 @@
     static void expectToOutlastLateCalls(LeaderBench &bench, std::size_t executor, const RunId &run)
     {
         bench.setSilent(executor, true);
-        bench.advanceTime(28'500ms);
-        CPPUNIT_ASSERT(bench.cluster().runs_.contains(run));
-        bench.advanceTime(1'500ms);
-        CPPUNIT_ASSERT(!bench.cluster().runs_.contains(run));
+        expectSettlementAfter(bench, run, 28'500ms);
     }
 
     /// The agent of \p run reports that a call of its start may still be carried out, and is replaced by a process that doesn't know it. Returns the index
--- a/tests/unit/batch_incident_regression_test.cpp
+++ b/tests/unit/batch_incident_regression_test.cpp
@@ -1,5 +1,4 @@
-#include "batch/cluster.h"
-#include "support/expect.h"
+#include "batch/expect_cluster.h"
 
 namespace bergamotwick::test {
 
@@ -8,13 +7,6 @@
 constexpr batch::ResourceVector twoAccelerators{1'000, 1'000, 2};
 constexpr std::size_t hosts = 4;
 
-void expectNoViolation(const Cluster &cluster)
-{
-    for (const std::string &violation : cluster.violations()) {
-        CPPUNIT_FAIL(violation);
-    }
-}
-
 /// Submits jobs of short tasks, one every 300 ms, for \p length.
 void submitShortJobs(Cluster &cluster, Duration length)
 {
--- a/tests/unit/batch_next_incarnation_test.cpp
+++ b/tests/unit/batch_next_incarnation_test.cpp
@@ -1,19 +1,10 @@
-#include "batch/cluster.h"
-#include "support/expect.h"
+#include "batch/expect_cluster.h"
 
 namespace bergamotwick::test {
 
 namespace {
 
 constexpr batch::ResourceVector noCapacity{};
-constexpr batch::ResourceVector fullCapacity{64'000, 131'072, 8};
-
-void expectNoViolation(const Cluster &cluster)
-{
-    for (const std::string &violation : cluster.violations()) {
-        CPPUNIT_FAIL(violation);
-    }
-}
 
 }
 
@@ -35,7 +26,7 @@
         cluster.submit(makeJob("long", 1, wholeExecutor, 9'500ms));
         cluster.run(1s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.allStarts());
-        cluster.setCapacity(1, fullCapacity);
+        cluster.setCapacity(1, executorCapacity);
         cluster.freezeAgent(0, 20s);
         cluster.run(40s);
         expectNoViolation(cluster);
