Starts after a sign of life: a start that reached no executor is no crash of its task

Cause: a run that was ordered but never listed counted as a crash under its task, although the start may have been sent to an executor that was dead already, or not at all; five of them gave the task up. The absence of an answer was taken as evidence.

Change: a later start of a task than its first is called only when the executor has just answered a poll that was sent after the order; a call that waits longer than 200 ms isn't sent. If no poll is answered for a second, the start is refused, so that the task goes elsewhere at once. The agent reports such a call in the same step, and after another incarnation has come which starts had been called and which hadn't. The leader counts an unlisted run only if its agent has told that its start was called, if it inherited the run, or if it was the first one: so that a task that crashes its executors on arrival is stopped as before. Survivals of listed runs are known to two lists only. No message or record has changed.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -18,6 +18,9 @@
 /// How long a start may wait to be sent to the executor. Later, the executor may be another one, or have less capacity.
 constexpr milliseconds maxCallQueueTime{1'000};
 
+/// As above, for a start that is called only because the executor has just answered.
+constexpr milliseconds maxCallQueueTimeAfterAnswer{200};
+
 /// Consecutive polls without an answer after which the executor is reported as unresponsive and gets no new work.
 constexpr int failedPollsUntilUnresponsive = 2;
 
@@ -40,21 +43,6 @@
 /// Time between such polls; they may hang, too, and occupy the threads that call the executor.
 constexpr milliseconds fencingPollInterval{800};
 
-const char *toString(OrderAnswer answer)
-{
-    switch (answer) {
-    case OrderAnswer::Accepted:
-        return "accepted";
-    case OrderAnswer::Refused:
-        return "refused";
-    case OrderAnswer::AlreadyEnded:
-        return "already-ended";
-    case OrderAnswer::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 }
 
 AgentCore::AgentCore(std::string name, milliseconds stopLimit, HeartbeatLimits heartbeatLimits, milliseconds maxLeaseDuration)
@@ -231,8 +219,12 @@
     if (!reportSentAt || now_ - *reportSentAt > maxStartOrderAge || *reportSentAt < capacityShrankAt_) {
         return; // the directive was delayed in transit, or answers another process; the leader repeats the orders that it still needs
     }
+    bool needsAnswer = false;
     for (const StartOrder &start : directive.starts_) {
-        refuseOrStart(start);
+        needsAnswer = refuseOrStart(start) || needsAnswer;
+    }
+    if (needsAnswer) {
+        pollNow();
     }
 }
 
@@ -245,19 +237,22 @@
     return matches ? std::optional(sent->second) : std::nullopt;
 }
 
-void AgentCore::refuseOrStart(const StartOrder &start)
+/// Returns whether the start waits until the executor has answered another poll.
+bool AgentCore::refuseOrStart(const StartOrder &start)
 {
     const auto isRun = [&start](const RunningTask &task) { return task.run_ == start.run_; };
     if (std::any_of(running_.begin(), running_.end(), isRun)) {
-        return; // a former process of this agent has started it
+        return false; // a former process of this agent has started it
     }
     const bool drains = executor_.draining_ || executor_.hasLeft_;
     if (!drains && knowsCapacity()) {
-        orders_.start(now_, start);
-    } else if (orders_.refuse(now_, start.run_)) {
+        return orders_.start(now_, start);
+    }
+    if (orders_.refuse(now_, start.run_)) {
         reportDue_ = true;
         log("start-refused", {{"run", toString(start.run_)}, {"reason", drains ? "draining" : "no-heartbeat"}});
     }
+    return false;
 }
 
 bool AgentCore::knowsCapacity() const
@@ -278,13 +273,20 @@
     if (!knowsCapacity()) {
         orders_.stopPendingStarts(now_);
     }
+    for (const RunId &run : orders_.giveUpUnanswered(now_)) {
+        reportDue_ = true;
+        log("start-given-up", {{"run", toString(run)}, {"reason", "no-answer"}});
+    }
     for (const RunId &run : orders_.takeDue(now_)) {
         const StartOrder *start = orders_.startOf(run);
+        const bool isRepeated = run.run_ > 1;
         if (start == nullptr) {
             outputs_.emplace_back(CallStop{executor_.incarnation_, run, fencingToken()});
         } else if (const auto end = leaseEnd()) {
-            outputs_.emplace_back(CallStart{executor_.incarnation_, *start, *end, fencingToken(), now_ + maxCallQueueTime});
+            const milliseconds queueTime = isRepeated ? maxCallQueueTimeAfterAnswer : maxCallQueueTime;
+            outputs_.emplace_back(CallStart{executor_.incarnation_, *start, *end, fencingToken(), now_ + queueTime});
             orders_.recordStartCall(run);
+            reportDue_ = reportDue_ || isRepeated; // if the executor crashes and takes this process along, the leader knows of the call
         } else {
             orders_.giveUpStart(now_, run, refusedSince_.has_value());
             reportDue_ = true;
@@ -355,11 +357,7 @@
         clockKnown_ = false;
         acknowledged_ = 0;
         ended_.clear();
-        if (sameName) {
-            orders_.executorReborn(now_);
-        } else {
-            orders_.clear(); // no call to the former executor is carried out by one of another name
-        }
+        orders_.executorReplaced(now_, sameName);
         rebornAt_ = sameName ? std::optional(now_) : std::nullopt;
         // Until it has seen its fencing token, it carries out calls to a former incarnation, whose clock was ahead: the lease is then the longest.
         if (fencedStartTimeMs_ != incarnation.startTimeMs_) {
@@ -440,6 +438,7 @@
     if (answer.fencingToken_ != fencingToken() || epoch_ == 0) {
         return;
     }
+    orders_.executorAnswered(now_, answer.sentAt_);
     if (listsValid_ && answer.sentAt_ < listsSentAt_) {
         return; // the answer to a later poll has already been processed
     }
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -145,7 +145,7 @@
     void handle(const StartAnswered &answer);
     void handle(const StopAnswered &answer);
 
-    void refuseOrStart(const StartOrder &start);
+    bool refuseOrStart(const StartOrder &start);
     [[nodiscard]] bool knowsCapacity() const;
     [[nodiscard]] bool isReplaced() const;
     void callDueOrders();
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -73,6 +73,7 @@
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
     Instant mayStartUntil_{}; ///< until then, a call of its start may be carried out, as far as this leader knows; its agent's process may know better
     bool hasEnded_ = false; ///< its executor no longer runs it, but a call of its start may still be carried out
+    bool wasCalled_ = false; ///< its agent has told that it called its start, or its executor has listed it
     bool lossRecorded_ = false; ///< the loss of its executor has been recorded for it, although a start of it may still be carried out
 };
 
--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -199,8 +199,10 @@
         const milliseconds exposure = std::min(crashes.longestSurvival_, maxUnseenTime);
         return std::pow(crashChance(cluster, job, exposure + noticeTime), std::max(1U, crashes.crashes_));
     }
-    const double first = crashChance(cluster, job, crashes.longestSurvival_ + noticeTime);
-    const double similar = crashChance(cluster, job, crashes.longestSurvival_ - crashes.shortestSurvival_ + noticeTime);
+    const bool wasListed = crashes.longestSurvival_ > milliseconds(0);
+    const milliseconds uncertainty = noticeTime + (wasListed ? 2 * listingPeriod : milliseconds(0)); // before the first lists and after the last ones
+    const double first = crashChance(cluster, job, crashes.longestSurvival_ + uncertainty);
+    const double similar = crashChance(cluster, job, crashes.longestSurvival_ - crashes.shortestSurvival_ + uncertainty);
     return first * std::pow(similar, std::max(1U, crashes.crashes_) - 1);
 }
 
@@ -312,13 +314,18 @@
     return leasesExpired ? LossKind::Unreachable : LossKind::Crashed;
 }
 
+bool mayHaveBegun(const Run &run) noexcept
+{
+    return run.wasCalled_ || run.inherited_ || run.id_.run_ <= 1;
+}
+
 ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const UnlistedStarts &unlisted)
 {
     ExecutorLoss loss{executor.info_.incarnation_, kind, {}};
     for (const RunId &id : executor.runs_) {
         const Run &run = cluster.runs_.at(id);
         const bool isOver = run.lossRecorded_ || run.hasEnded_ || run.placement_ != loss.incarnation_;
-        if (run.phase_ == RunPhase::Committing || isOver || unlisted.refused_.contains(id)) {
+        if (run.phase_ == RunPhase::Committing || isOver || unlisted.refused_.contains(id) || !mayHaveBegun(run)) {
             continue;
         }
         const bool listed = run.listedAt_ != Duration(0);
@@ -396,7 +403,7 @@
         return;
     }
     const auto found = job->second.crashes_.find(*indexOf(job->second.submission_, run.id_.task_));
-    if (found == job->second.crashes_.end() || run.phase_ == RunPhase::Committing) {
+    if (found == job->second.crashes_.end() || run.phase_ == RunPhase::Committing || !mayHaveBegun(run)) {
         return;
     }
     TaskCrashes &crashes = found->second;
--- a/src/core/batch/crashes.h
+++ b/src/core/batch/crashes.h
@@ -32,7 +32,7 @@
     std::optional<Duration> survival_; ///< from its first to its last listing; unset if this leader never saw it listed
     bool isolated_ = false; ///< Run::isolated_
     std::optional<Duration> maxSurvival_ = std::nullopt; ///< set if it may have lived longer than survival_, at most this long
-    bool hasBegun_ = true; ///< it was listed, or its start was accepted; if not, the start may never have reached the executor
+    bool hasBegun_ = true; ///< it was listed, or its start was accepted; if not, its start was called, and may not have reached the executor
 };
 
 /// An executor that was lost, with the runs on it.
@@ -49,8 +49,12 @@
 /// Returns how the executor of \p report was lost. Precondition: reportsLoss(). \p executor is its record before the report's lists are applied.
 [[nodiscard]] LossKind lossKindOf(const Executor &executor, const Report &report) noexcept;
 
-/// Returns the loss of \p executor with the runs that its current incarnation held, without refused ones and those for which the loss has been
-/// recorded. Of an executor that had left only runs that had just begun, or may have: others ended with it.
+/// Returns whether \p run may have begun as far as its agent has told this leader. A later start of a task than its first is only called when its executor
+/// has just answered, and the agent tells so at once.
+[[nodiscard]] bool mayHaveBegun(const Run &run) noexcept;
+
+/// Returns the loss of \p executor with the runs that its current incarnation held and that may have begun, without refused ones and those for which the
+/// loss has been recorded. Of an executor that had left only runs that had just begun, or may have: others ended with it.
 [[nodiscard]] ExecutorLoss lossOf(const ClusterState &cluster, const Executor &executor, LossKind kind, const UnlistedStarts &unlisted = {});
 
 /// Returns the runs that probably caused \p loss: an isolated one, else those that had begun but were never listed, else the youngest if they had been
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -179,9 +179,29 @@
     return run.inherited_ || cluster.agents_.at(report.agent_).restartedAt_ > run.startedAt_;
 }
 
-void recordEndOfIncarnation(ClusterState &cluster, Executor &executor)
+void noteCalls(ClusterState &cluster, const Report &report)
 {
-    const ExecutorLoss loss = lossOf(cluster, executor, executor.isLeaving_ ? LossKind::Left : LossKind::Crashed);
+    const auto note = [&](const RunId &id) {
+        const auto run = cluster.runs_.find(id);
+        if (run != cluster.runs_.end() && run->second.placement_.host_ == report.agent_) {
+            run->second.wasCalled_ = true;
+        }
+    };
+    std::for_each(report.starting_.begin(), report.starting_.end(), note);
+    for (const RunningTask &task : report.running_) {
+        note(task.run_);
+    }
+    for (const SettledOrder &order : report.settled_) {
+        if (order.outcome_ == OrderOutcome::StopConfirmed) {
+            note(order.run_);
+        }
+    }
+}
+
+void recordEndOfIncarnation(ClusterState &cluster, Executor &executor, const Report &report)
+{
+    const LossKind kind = executor.isLeaving_ ? LossKind::Left : LossKind::Crashed;
+    const ExecutorLoss loss = lossOf(cluster, executor, kind, unlistedStarts(cluster, report));
     if ((!executor.lost_ && loss.kind_ != LossKind::Left) || !loss.runs_.empty()) {
         recordLoss(cluster, executor, loss);
     }
@@ -214,14 +234,15 @@
     }
 }
 
-void settleFormerIncarnationsOnHost(ClusterState &cluster, const Incarnation &current)
+void settleFormerIncarnationsOnHost(ClusterState &cluster, const Report &report)
 {
+    const Incarnation &current = report.executor_.incarnation_;
     for (auto &[id, executor] : cluster.executors_) {
         const Incarnation &incarnation = executor.info_.incarnation_;
         if (id == current.executor_ || incarnation.host_ != current.host_ || incarnation.startTimeMs_ >= current.startTimeMs_) {
             continue;
         }
-        recordEndOfIncarnation(cluster, executor);
+        recordEndOfIncarnation(cluster, executor, report);
         executor.listed_ = false; // it gets no more work
         settleRuns(cluster, executor, "executor-replaced", [](const Run &) { return true; });
     }
--- a/src/core/batch/inferred_ends.h
+++ b/src/core/batch/inferred_ends.h
@@ -25,9 +25,12 @@
 /// process of the agent has called it.
 [[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Run &run, const Report &report);
 
-/// Records that the incarnation of \p executor has ended, unless the loss of all its runs has been recorded. If it had announced its end, only runs that
-/// had just begun count.
-void recordEndOfIncarnation(ClusterState &cluster, Executor &executor);
+/// Records of which runs \p report tells that their starts have been called.
+void noteCalls(ClusterState &cluster, const Report &report);
+
+/// Records that the incarnation of \p executor has ended, as \p report of its host shows, unless the loss of all its runs has been recorded. If it had
+/// announced its end, only runs that had just begun count.
+void recordEndOfIncarnation(ClusterState &cluster, Executor &executor, const Report &report);
 
 /// Records the loss of the executor if \p report tells of it.
 void recordReportedLoss(ClusterState &cluster, Executor &executor, const Report &report);
@@ -38,8 +41,8 @@
 void carryOverToCurrentIncarnation(ClusterState &cluster, Executor &executor);
 
 /// Settles the runs of earlier incarnations on the same host, which may have had other executor names. They have ended, as the current
-/// incarnation answers at their address.
-void settleFormerIncarnationsOnHost(ClusterState &cluster, const Incarnation &current);
+/// incarnation, which \p report tells of, answers at their address.
+void settleFormerIncarnationsOnHost(ClusterState &cluster, const Report &report);
 
 /// Settles the runs of executors that have been silent for so long that all their leases have expired, except for starts that may still be
 /// carried out.
--- a/src/core/batch/messages.h
+++ b/src/core/batch/messages.h
@@ -40,6 +40,22 @@
     Unknown, ///< no definite answer; the order may still be carried out, even seconds later
 };
 
+/// Returns the name of \p answer in logs.
+[[nodiscard]] constexpr const char *toString(OrderAnswer answer) noexcept
+{
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        return "accepted";
+    case OrderAnswer::Refused:
+        return "refused";
+    case OrderAnswer::AlreadyEnded:
+        return "already-ended";
+    case OrderAnswer::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 /// How a run ended.
 enum class EndKind : std::uint8_t {
     Done,
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -1,6 +1,7 @@
 #include "core/batch/orders.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bergamotwick::batch {
 
@@ -19,6 +20,9 @@
 /// A stop that hasn't been carried out for this long is overdue. Calls without an answer may take up to twice a call's timeout.
 constexpr milliseconds maxStopTime{5'000};
 
+/// How long a start waits for the executor to answer a poll.
+constexpr milliseconds maxAnswerWait{1'000};
+
 /// How long the outcome of an order is reported; long enough to outlast a lost connection.
 constexpr milliseconds orderRetention{10'000};
 
@@ -34,6 +38,7 @@
     order.phase_ = phase;
     order.hasStarted_ = order.hasStarted_ || phase == Phase::Started;
     order.hasEnded_ = false;
+    order.awaitsAnswer_ = false;
     order.phaseSince_ = now;
     order.callAt_.reset();
 }
@@ -76,20 +81,39 @@
     return callsNotCarriedOut(order) > 0 && (order.callsInProgress_ > 0 || isUnanswered(order, now));
 }
 
-void Orders::clear() noexcept
+/// Returns whether no call of the start has been made, by this process or a former one.
+bool Orders::isUncalled(const Order &order) noexcept
+{
+    return order.awaitsAnswer_ && !order.mayHaveFormerCalls_;
+}
+
+/// Returns whether the start was called because the executor had just answered, and no lists show yet whether its run is there.
+bool Orders::isInDoubt(const Order &order) noexcept
 {
-    orders_.clear();
+    const bool isUnlisted = order.phase_ == Phase::Starting || order.phase_ == Phase::Lost || (order.phase_ == Phase::Started && !order.listed_);
+    return order.calledAfterAnswer_ && isUnlisted;
 }
 
-void Orders::executorReborn(Instant now)
+void Orders::executorReplaced(Instant now, bool sameName)
 {
-    std::erase_if(orders_, [now](const auto &entry) { return !mayStartLate(entry.second, now); });
     for (auto &[run, order] : orders_) {
-        enter(order, Phase::Lost, now);
+        if (sameName && mayStartLate(order, now)) {
+            enter(order, Phase::Lost, now);
+        } else if (isUncalled(order)) {
+            enter(order, Phase::Refused, now);
+        } else if (isInDoubt(order) && !order.mayHaveFormerCalls_) {
+            order.callsInProgress_ = 0;
+            order.unansweredCalls_ = 0; // none is carried out by an executor of another name
+            enter(order, Phase::Ended, now);
+        }
     }
+    std::erase_if(orders_, [](const auto &entry) {
+        const Phase phase = entry.second.phase_;
+        return phase != Phase::Lost && phase != Phase::Refused && phase != Phase::Ended;
+    });
 }
 
-void Orders::start(Instant now, const StartOrder &start)
+bool Orders::start(Instant now, const StartOrder &start)
 {
     const auto [found, isNew] = orders_.try_emplace(start.run_);
     Order &order = found->second;
@@ -98,7 +122,22 @@
         order.start_ = start;
         order.mayHaveFormerCalls_ = !knowsAllCalls(now);
         order.phaseSince_ = now;
-        order.callAt_ = now;
+        order.awaitsAnswer_ = start.run_.run_ > 1;
+        if (!order.awaitsAnswer_) {
+            order.callAt_ = now;
+        }
+    }
+    return isNew && order.awaitsAnswer_;
+}
+
+void Orders::executorAnswered(Instant now, Instant sentAt)
+{
+    for (auto &[run, order] : orders_) {
+        if (order.awaitsAnswer_ && sentAt >= order.phaseSince_) {
+            order.awaitsAnswer_ = false;
+            order.calledAfterAnswer_ = true;
+            order.callAt_ = now;
+        }
     }
 }
 
@@ -122,7 +161,9 @@
 
 void Orders::beginStop(Order &order, Instant now)
 {
-    if (order.phase_ == Phase::Starting || order.phase_ == Phase::Started || order.phase_ == Phase::Lost) {
+    if (isUncalled(order)) {
+        enter(order, Phase::Refused, now);
+    } else if (order.phase_ == Phase::Starting || order.phase_ == Phase::Started || order.phase_ == Phase::Lost) {
         enter(order, Phase::Stopping, now);
         order.callAt_ = now;
     }
@@ -135,10 +176,22 @@
             continue;
         }
         order.attempts_ = maxStartAttempts;
-        if (order.callAt_) {
+        if (order.callAt_ || order.awaitsAnswer_) {
+            beginStop(order, now);
+        }
+    }
+}
+
+std::vector<RunId> Orders::giveUpUnanswered(Instant now)
+{
+    std::vector<RunId> givenUp;
+    for (auto &[run, order] : orders_) {
+        if (order.awaitsAnswer_ && now - order.phaseSince_ > maxAnswerWait) {
             beginStop(order, now);
+            givenUp.push_back(run);
         }
     }
+    return givenUp;
 }
 
 void Orders::stopUnwantedStarts(Instant now)
@@ -319,7 +372,9 @@
 void Orders::executorEnded(Instant now, Instant emptyAt)
 {
     for (auto &[run, order] : orders_) {
-        if (order.phase_ != Phase::Refused) {
+        if (isUncalled(order)) {
+            enter(order, Phase::Refused, now);
+        } else if (order.phase_ != Phase::Refused) {
             enter(order, mayStartLate(order, emptyAt) ? Phase::Lost : Phase::Ended, now);
         }
     }
@@ -391,7 +446,8 @@
         }
         const bool unlisted = order.phase_ == Phase::Started && (!order.listed_ || mayStartLate(order, now));
         const bool stopping = order.phase_ == Phase::Stopping || order.phase_ == Phase::Stopped;
-        if (order.phase_ == Phase::Starting || unlisted || stopping || order.phase_ == Phase::Lost) {
+        const bool starting = order.phase_ == Phase::Starting && !isUncalled(order);
+        if (starting || unlisted || stopping || order.phase_ == Phase::Lost) {
             report.starting_.push_back(run);
             if (order.hasEnded_) {
                 report.ended_.push_back({provisionalEnd, run, EndKind::Stopped, ""});
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -37,15 +37,21 @@
     /// Records that this process has begun at \p now. A former process of the agent may have made calls that it doesn't know.
     void begin(Instant now) noexcept;
 
-    /// Forgets all orders, because an executor of another name has taken the place.
-    void clear() noexcept;
+    /// Records that another incarnation has taken the executor's place. Starts that weren't called are refused. If it has the \p sameName, it carries out
+    /// calls to the former one until it has seen its own fencing token: the starts of which a call may still be on its way stay open. Runs that had just
+    /// been started after an answer of the former one have ended with it. All other orders are forgotten.
+    void executorReplaced(Instant now, bool sameName);
 
-    /// Records that the executor's next incarnation has taken its place. It carries out calls to the former one until it has seen its own fencing token:
-    /// the starts of which a call may still be on its way stay open, all other orders are forgotten.
-    void executorReborn(Instant now);
+    /// Adds the order to start \p start. A task's first start is called at once, a later one once the executor has answered a poll that was sent after the
+    /// order: if the executor crashes without an answer, the task is the likely cause. If there is an order for its run, records only that the leader
+    /// still wants it. Returns whether such a poll is needed.
+    bool start(Instant now, const StartOrder &start);
 
-    /// Adds the order to start \p start, to be called at once. If there is an order for its run, records only that the leader still wants it.
-    void start(Instant now, const StartOrder &start);
+    /// Refuses the starts for which the executor has answered no poll in time, or stops them if a former process may have called them. Returns their runs.
+    std::vector<RunId> giveUpUnanswered(Instant now);
+
+    /// Records that the present incarnation has answered a poll that was sent at \p sentAt: the starts that waited for that are called.
+    void executorAnswered(Instant now, Instant sentAt);
 
     /// Records that \p run isn't started, or stops it if a former process may have started it. Does nothing if there is an order for it. Returns
     /// whether it was recorded as refused.
@@ -54,7 +60,8 @@
     /// Begins to stop \p run, known or not, unless it is being stopped or has ended.
     void stop(Instant now, const RunId &run);
 
-    /// Stops the starts that haven't been answered, instead of repeating them: the executor drains, or its capacity has shrunk.
+    /// Stops the starts that haven't been answered, instead of repeating them, and refuses those that haven't been called: the executor drains, or its
+    /// capacity has shrunk.
     void stopPendingStarts(Instant now);
 
     /// Returns the runs whose start or stop is to be called now. Before that, stops the starts that would be repeated but that the leader hasn't
@@ -159,10 +166,14 @@
         bool hasStarted_ = false; ///< its start was accepted, or the executor has listed it
         bool hasEnded_ = false; ///< no longer listed after its stop, although a call of its start may still be carried out
         bool listed_ = false; ///< lists requested after the start was accepted show whether it runs
+        bool awaitsAnswer_ = false; ///< its start is called once the executor has answered a poll
+        bool calledAfterAnswer_ = false; ///< its start was first called when the executor had just answered
     };
 
     static void enter(Order &order, Phase phase, Instant now);
     static void beginStop(Order &order, Instant now);
+    [[nodiscard]] static bool isUncalled(const Order &order) noexcept;
+    [[nodiscard]] static bool isInDoubt(const Order &order) noexcept;
     [[nodiscard]] bool mayHaveStarted(const Order &order, Instant now) const;
     [[nodiscard]] static bool isUnanswered(const Order &order, Instant now);
     [[nodiscard]] static int callsNotCarriedOut(const Order &order) noexcept;
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -268,7 +268,7 @@
     Executor &executor = cluster.executors_[report.executor_.incarnation_.executor_];
     if (executor.info_.incarnation_ != report.executor_.incarnation_) {
         if (!executor.info_.incarnation_.executor_.empty()) {
-            recordEndOfIncarnation(cluster, executor);
+            recordEndOfIncarnation(cluster, executor, report);
         }
         executor.lost_ = false;
         executor.isLeaving_ = false;
@@ -344,7 +344,10 @@
     const bool isLater = agent != cluster.agents_.end() && incarnation.startTimeMs_ > startTimeAtAgent(cluster, agent->second);
     // So does a silence in which a report over a former connection would have arrived.
     const bool isRebooted = agent != cluster.agents_.end() && cluster.now_ - agent->second.heardAt_ > maxReportDelay;
-    if (agent != cluster.agents_.end() && !isLater && !isRebooted && report.sentAt_ <= agent->second.sentAt_) {
+    const auto isNewer = [&report](const Agent &known) {
+        return report.sentAt_ > known.sentAt_ || (report.sentAt_ == known.sentAt_ && report.sequence_ > known.sequence_);
+    };
+    if (agent != cluster.agents_.end() && !isLater && !isRebooted && !isNewer(agent->second)) {
         return true;
     }
     const auto executor = cluster.executors_.find(incarnation.executor_);
@@ -382,12 +385,13 @@
     if (agent.executor_.empty()) {
         return;
     }
+    noteCalls(cluster, report);
     Executor &executor = updateExecutor(cluster, report);
     carryOverToCurrentIncarnation(cluster, executor);
     if (!report.listsValid_ || report.epoch_ != cluster.epoch_) {
         return;
     }
-    settleFormerIncarnationsOnHost(cluster, executor.info_.incarnation_);
+    settleFormerIncarnationsOnHost(cluster, report);
     recordReportedLoss(cluster, executor, report);
     if (report.responsive_) {
         executor.lost_ = false;
