--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -106,10 +106,10 @@
 
 /// Returns the number up to which the next poll acknowledges ends, or 0 if it has none to acknowledge. A run must not end for good before lists that were
 /// requested after its start could be carried out show the end. A poll that is held up may reach the next incarnation, whose ends are numbered anew: so none
-/// acknowledges needlessly.
+/// acknowledges needlessly, or while that incarnation may carry out a start by itself, whose end nobody would see.
 std::int64_t AgentCore::acknowledgement() const
 {
-    if (!incarnationConfirmed_) {
+    if (!incarnationConfirmed_ || orders_.lateStarts(now_) > 0) {
         return 0;
     }
     std::int64_t number = acknowledged_;
--- a/tests/unit/batch_repeated_start_test.cpp
+++ b/tests/unit/batch_repeated_start_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(calledStartHasEndedAfterTheExecutorWasReplaced);
     CPPUNIT_TEST(callIsReportedAtOnce);
     CPPUNIT_TEST(uncalledStartIsNotReported);
+    CPPUNIT_TEST(nothingIsAcknowledgedWhileAStartMayBeLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +130,23 @@
         StartBench bench(laterRun);
         CPPUNIT_ASSERT(!AgentBench::mayBeRunning(bench.report(), laterRun));
     }
+
+    void nothingIsAcknowledgedWhileAStartMayBeLate()
+    {
+        StartBench bench(firstRun);
+        batch::PollAnswered lists = bench.answer({});
+        lists.ended_ = {{1, {{JobId("other"), 0, 0, 0}, 1}, batch::EndKind::Done, ""}};
+        (void)bench.step({batch::StartAnswered{firstRun, batch::OrderAnswer::Accepted, ""}, lists});
+        batch::Directive stored = bench.directive();
+        stored.acknowledged_ = 1;
+        (void)bench.step({stored});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.nextPoll().acknowledged_);
+        batch::Directive order = bench.directive();
+        order.acknowledged_ = 1;
+        order.starts_ = {{{{JobId("late"), 0, 0, 0}, 1}, "spec", "", ""}};
+        (void)bench.step({order});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, bench.nextPoll().acknowledged_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchRepeatedStartTest);
