--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -72,8 +72,10 @@
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
     Instant mayStartUntil_{}; ///< until then, a call of its start may be carried out, as far as this leader knows; its agent's process may know better
-    bool hasEnded_ = false; ///< its executor no longer runs it, but a call of its start may still be carried out
+    std::optional<Instant> lateStartNotedAt_; ///< when it was first reported that it is listed, but a call of its start wasn't answered
+    bool hasEnded_ = false; ///< its executor has ended it, but a call of its start may still be carried out by the next incarnation; see setEnded()
     bool wasCalled_ = false; ///< its agent has told that it called its start, or its executor has listed it
+    bool isWaitLogged_ = false; ///< it has been logged that it waits, although its executor is lost
     bool lossRecorded_ = false; ///< the loss of its executor has been recorded for it, although a start of it may still be carried out
 };
 
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -6,6 +6,7 @@
 #include "core/batch/runs.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotwick::batch {
 
@@ -14,6 +15,9 @@
 /// Time from a run's assignment in which its start is stored, ordered and repeated.
 constexpr milliseconds maxStartTime{4'000};
 
+/// Time in which a call of a start is answered or given up. No further call is made once its run has been listed.
+constexpr milliseconds maxCallTime{1'000};
+
 const char *toString(RunPhase phase)
 {
     switch (phase) {
@@ -164,7 +168,8 @@
         const bool mayStart = std::find(report.starting_.begin(), report.starting_.end(), task.run_) != report.starting_.end();
         // Runs that are listed for the first time, or are being stopped, stand in both lists as well.
         if (mayStart && run.phase_ == RunPhase::Running && run.listedAt_ < report.listedAt_) {
-            run.mayStartUntil_ = cluster.now_ + maxCallDelay;
+            run.lateStartNotedAt_ = run.lateStartNotedAt_.value_or(cluster.now_);
+            run.mayStartUntil_ = std::min(cluster.now_, *run.lateStartNotedAt_ + maxCallTime) + maxCallDelay;
         } else if (!mayStart && !mayStartUnknown(cluster, run, report)) {
             run.mayStartUntil_ = Instant();
         }
@@ -229,6 +234,7 @@
         run.placement_ = executor.info_.incarnation_;
         run.recovered_ = true;
         run.lossRecorded_ = true; // it hasn't been seen on the current incarnation
+        setEnded(cluster, run, false);
         run.percent_ = 0;
         run.phase_ = run.phase_ == RunPhase::Stopping ? RunPhase::Stopping : RunPhase::Starting;
     }
@@ -258,13 +264,35 @@
     return std::max(permittedEnd, fencedBy + withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) + permitSlack);
 }
 
-/// Returns when \p run is over if nothing is heard of \p executor. Its next incarnation may start the run by a call that was given up; a further such call
-/// may extend the lease then.
+/// Returns when \p run is over if nothing is heard of \p executor. Its next incarnation may start the run by a call that was given up, for the longest lease.
+/// If the run hasn't ended before, a further such call to this incarnation may extend that.
 Instant silentRunEnd(const ClusterState &cluster, const Executor &executor, const Run &run)
 {
     const Instant end = leasesEnd(cluster, executor);
-    const bool mayHaveStartedLate = executor.lastReport_ < run.mayStartUntil_;
-    return mayHaveStartedLate ? end + maxCallDelay + withSlowClockAllowance(cluster.limits_.maxLeaseDuration_) : end;
+    if (executor.lastReport_ >= run.mayStartUntil_) {
+        return end;
+    }
+    const Duration longestLease = withSlowClockAllowance(cluster.limits_.maxLeaseDuration_);
+    return run.hasEnded_ ? std::max(end, run.mayStartUntil_ + longestLease) : end + maxCallDelay + longestLease;
+}
+
+/// Logs once what the runs on silent \p executor wait for whose leases are over.
+void logWaitingRuns(ClusterState &cluster, const Executor &executor)
+{
+    for (const RunId &id : executor.runs_) {
+        Run &run = cluster.runs_.at(id);
+        if (std::exchange(run.isWaitLogged_, true)) {
+            continue;
+        }
+        const Duration left = silentRunEnd(cluster, executor, run) - cluster.now_;
+        cluster.logEvent("run-waits",
+                         {{"run", toString(id)},
+                          {"reason", "late-start"},
+                          {"executor", executor.info_.incarnation_.executor_.str()},
+                          {"phase", toString(run.phase_)},
+                          {"ended", run.hasEnded_ ? "yes" : "no"},
+                          {"for_ms", std::to_string(std::chrono::duration_cast<milliseconds>(left).count())}});
+    }
 }
 
 void expireSilentLeases(ClusterState &cluster)
@@ -284,6 +312,7 @@
             recordLoss(cluster, executor, lossOf(cluster, executor, LossKind::Unreachable));
         }
         settleRuns(cluster, executor, "lease-over", [&](const Run &run) { return cluster.now_ >= silentRunEnd(cluster, executor, run); });
+        logWaitingRuns(cluster, executor);
     }
 }
 
--- a/src/core/batch/ledger.cpp
+++ b/src/core/batch/ledger.cpp
@@ -58,6 +58,20 @@
     cluster.runs_.emplace(id, std::move(run));
 }
 
+void setEnded(ClusterState &cluster, Run &run, bool hasEnded)
+{
+    if (run.hasEnded_ == hasEnded) {
+        return;
+    }
+    run.hasEnded_ = hasEnded;
+    ResourceVector &used = cluster.executors_.at(run.placement_.executor_).used_;
+    if (hasEnded) {
+        used -= run.resources_;
+    } else {
+        used += run.resources_;
+    }
+}
+
 void removeRun(ClusterState &cluster, const RunId &id)
 {
     const auto found = cluster.runs_.find(id);
@@ -66,7 +80,7 @@
     }
     const Run &run = found->second;
     Executor &executor = cluster.executors_[run.placement_.executor_];
-    if (executor.runs_.erase(id) > 0) {
+    if (executor.runs_.erase(id) > 0 && !run.hasEnded_) {
         executor.used_ -= run.resources_;
     }
     if (!run.urgentService_.empty()) {
--- a/src/core/batch/ledger.h
+++ b/src/core/batch/ledger.h
@@ -4,8 +4,8 @@
 
 namespace bergamotwick::batch {
 
-/// Resource accounting for executors. A run occupies resources from the decision to start it until its end is certain; runs that are
-/// starting, stopping or of unknown state all count. Thread safety of all functions: none; one thread owns the cluster state.
+/// Resource accounting for executors. A run occupies resources from the decision to start it until its executor lists its end, or its end is certain; runs
+/// that are starting, stopping or of unknown state all count. Thread safety of all functions: none; one thread owns the cluster state.
 
 /// Returns the resources of \p executor that are neither used by runs nor reserved for a group.
 [[nodiscard]] ResourceVector freeResources(const Executor &executor);
@@ -17,6 +17,10 @@
 /// Adds \p run and its resource use. Precondition: its job and executor are known and the run hasn't been added yet.
 void addRun(ClusterState &cluster, Run run);
 
+/// Records whether the executor of \p run \p hasEnded it although a call of its start may still be carried out. Its resources are free while it has ended
+/// there: that incarnation doesn't start it again.
+void setEnded(ClusterState &cluster, Run &run, bool hasEnded);
+
 /// Removes a run whose end is certain, and allows its task to be started again.
 void removeRun(ClusterState &cluster, const RunId &id);
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -154,7 +154,7 @@
     if (end.kind_ == EndKind::Done) {
         applyEnd(cluster, executor, end);
     } else {
-        run->second.hasEnded_ = true;
+        setEnded(cluster, run->second, true);
     }
 }
 
@@ -188,7 +188,7 @@
         const auto run = cluster.runs_.find(end.run_);
         if (end.kind_ != EndKind::Done && run != cluster.runs_.end() && mayStartUnknown(cluster, run->second, report)) {
             executor.firstIgnoredEnd_ = std::min(executor.firstIgnoredEnd_.value_or(end.number_), end.number_);
-            run->second.hasEnded_ = true;
+            setEnded(cluster, run->second, true);
             continue; // its task is to be started again: not while its former start may be carried out
         }
         const Instant notBefore = earliestAcknowledgement(cluster, report, end);
@@ -240,7 +240,7 @@
     Run &run = found->second;
     run.recovered_ = false;
     run.lossRecorded_ = false;
-    run.hasEnded_ = false;
+    setEnded(cluster, run, false);
     if (run.phase_ == RunPhase::Committing || run.phase_ == RunPhase::Starting) {
         run.phase_ = RunPhase::Running;
         resetProgress(run, task, executor.listedAt_);
@@ -344,9 +344,8 @@
     const bool isLater = agent != cluster.agents_.end() && incarnation.startTimeMs_ > startTimeAtAgent(cluster, agent->second);
     // So does a silence in which a report over a former connection would have arrived.
     const bool isRebooted = agent != cluster.agents_.end() && cluster.now_ - agent->second.heardAt_ > maxReportDelay;
-    const auto isNewer = [&report](const Agent &known) {
-        return report.sentAt_ > known.sentAt_ || (report.sentAt_ == known.sentAt_ && report.sequence_ > known.sequence_);
-    };
+    const auto isNewer
+        = [&report](const Agent &known) { return report.sentAt_ > known.sentAt_ || (report.sentAt_ == known.sentAt_ && report.sequence_ > known.sequence_); };
     if (agent != cluster.agents_.end() && !isLater && !isRebooted && !isNewer(agent->second)) {
         return true;
     }
