Folded records: a job that runs once a minute for a month runs, and is not refused

Cause: the record of a job had an entry for each task of each occurrence, done or not yet due: a bound on the job instead of on what is open.

Change: where the plain record may outgrow the store's values, consecutive tasks that are done or haven't begun are counted, and only those that have begun have entries; new tasks are held back while these fill the record, begun ones keep room to go on. All other jobs keep their bytes. What can't be kept even so (too many lasting tasks, a long submission) is refused as before.

Of the failed runs of a task that lasts the last eight are kept; they grew its record for ever.

A fuzz decoder and samples of both kinds are added.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -149,6 +149,7 @@
     std::map<std::size_t, std::size_t> stalls_; ///< by first task that starts together: how many runs have been stopped as stalled
     std::map<std::size_t, Instant> waitingSince_; ///< by first task of each group that waits for executors
     std::set<std::size_t> reportedHolds_; ///< first tasks of groups whose executor holds have been logged; each is logged once
+    bool isFolded_ = false; ///< its progress is stored as FoldedProgress
     bool cancelled_ = false; ///< also if it had failed before
     bool removing_ = false;
     std::map<std::size_t, TaskCrashes> crashes_; ///< by task index
--- a/src/core/batch/codec.cpp
+++ b/src/core/batch/codec.cpp
@@ -15,6 +15,16 @@
         && std::all_of(report.settled_.begin(), report.settled_.end(), [](const SettledOrder &order) { return order.outcome_ <= OrderOutcome::StopConfirmed; });
 }
 
+Result<Progress> decodeFoldedProgress(std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(folded, (decodeAs<PayloadKind::FoldedProgress, FoldedProgress>(bytes)));
+    auto progress = unfold(folded);
+    if (!progress) {
+        return leaf::new_error(WireError{WireErrc::Corrupt});
+    }
+    return std::move(*progress);
+}
+
 }
 
 std::string encode(const Submission &value)
@@ -22,6 +32,16 @@
     return encodeAs<PayloadKind::Submission>(value);
 }
 
+std::string encodeLong(const Submission &value)
+{
+    return encodeAs<PayloadKind::LongSubmission>(value);
+}
+
+std::string encode(const FoldedProgress &value)
+{
+    return encodeAs<PayloadKind::FoldedProgress>(value);
+}
+
 std::string encode(const Progress &value)
 {
     return encodeAs<PayloadKind::Progress>(value);
@@ -44,12 +64,13 @@
 
 Result<Submission> decodeSubmission(std::string_view bytes)
 {
-    return decodeAs<PayloadKind::Submission, Submission>(bytes);
+    return isOfKind(bytes, PayloadKind::LongSubmission) ? decodeAs<PayloadKind::LongSubmission, Submission>(bytes)
+                                                        : decodeAs<PayloadKind::Submission, Submission>(bytes);
 }
 
 Result<Progress> decodeProgress(std::string_view bytes)
 {
-    BOOST_LEAF_AUTO(progress, (decodeAs<PayloadKind::Progress, Progress>(bytes)));
+    BOOST_LEAF_AUTO(progress, (isOfKind(bytes, PayloadKind::FoldedProgress) ? decodeFoldedProgress(bytes) : decodeAs<PayloadKind::Progress, Progress>(bytes)));
     if (progress.state_ > JobState::Cancelled) {
         return leaf::new_error(WireError{WireErrc::Corrupt});
     }
--- a/src/core/batch/crashes.cpp
+++ b/src/core/batch/crashes.cpp
@@ -513,7 +513,9 @@
 {
     for (std::size_t index = 0; index < job.progress_.tasks_.size(); ++index) {
         const TaskProgress &task = job.progress_.tasks_[index];
-        const std::size_t accounted = task.failedRuns_.size() + (task.assigned_ ? 1 : 0);
+        const std::size_t failures = task.failedRuns_.size();
+        const std::size_t ended = failures < maxFailedRunsOfLastingTask ? failures : task.failedRuns_.back(); // earlier ones may have been dropped
+        const std::size_t accounted = ended + (task.assigned_ ? 1 : 0);
         if (task.done_ || !task.checkpoint_.empty() || task.run_ < accounted + suspectedStarts) {
             continue;
         }
--- a/src/core/batch/framing.h
+++ b/src/core/batch/framing.h
@@ -23,6 +23,8 @@
     ForwardedCall,
     ForwardedAnswer,
     CrashHistory,
+    LongSubmission, ///< of a job whose progress is folded
+    FoldedProgress,
 };
 
 /// All types of payloads. Releases that run side by side read each other's, so each has a sample in tests/support/formats.cpp.
@@ -32,7 +34,9 @@
                                   PayloadKind::Directive,
                                   PayloadKind::ForwardedCall,
                                   PayloadKind::ForwardedAnswer,
-                                  PayloadKind::CrashHistory};
+                                  PayloadKind::CrashHistory,
+                                  PayloadKind::LongSubmission,
+                                  PayloadKind::FoldedProgress};
 
 [[nodiscard]] constexpr bool isListed(PayloadKind kind) noexcept
 {
@@ -47,6 +51,12 @@
     return XXH32(body.data(), body.size(), static_cast<std::uint32_t>(kind));
 }
 
+/// Returns whether the header of \p bytes names \p kind. Thread-safe.
+[[nodiscard]] inline bool isOfKind(std::string_view bytes, PayloadKind kind) noexcept
+{
+    return bytes.size() >= headerBytes && static_cast<PayloadKind>(bytes[1]) == kind;
+}
+
 /// Encodes \p value behind a header of format version, kind and checksum. Thread-safe.
 template<PayloadKind kind, class Value>
 [[nodiscard]] std::string encodeAs(const Value &value)
--- a/src/core/batch/job.h
+++ b/src/core/batch/job.h
@@ -177,6 +177,9 @@
     }
 };
 
+/// Of a task that lasts, at most this many failed runs are kept: it may fail for ever.
+constexpr std::size_t maxFailedRunsOfLastingTask = 8;
+
 /// Progress of a task; part of the job's stored record.
 struct TaskProgress
 {
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -3,6 +3,7 @@
 #include "core/batch/advising.h"
 #include "core/batch/codec.h"
 #include "core/batch/crashes.h"
+#include "core/batch/folded_record.h"
 #include "core/batch/inferred_ends.h"
 #include "core/batch/ledger.h"
 #include "core/batch/placing.h"
@@ -72,6 +73,11 @@
 
 }
 
+std::string encodeProgress(const ProgressWrite &write)
+{
+    return write.isFolded_ ? encode(fold(write.progress_)) : encode(write.progress_);
+}
+
 Leader::Leader(LeaderLimits limits, std::int64_t epoch, Instant now)
 {
     cluster_.limits_ = limits;
@@ -164,7 +170,8 @@
                        {"stretch", std::to_string(job.stretch_)},
                        {"target_ms", std::to_string(job.targetLatency_.count())},
                        {"age_ms", std::to_string(age.count())}});
-    if (const auto excess = recordExcess(job.submission_, cluster_.limits_.maxRecordBytes_)) {
+    job.isFolded_ = isFolded(job.submission_, cluster_.limits_.maxRecordBytes_);
+    if (const auto excess = foldedRecordExcess(job.submission_, cluster_.limits_.maxRecordBytes_)) {
         cluster_.logEvent(
             "job-too-large",
             {{"job", id.str()}, {"reason", toString(excess->kind_)}, {"found", std::to_string(excess->found_)}, {"limit", std::to_string(excess->limit_)}});
@@ -337,7 +344,7 @@
                       {{"job", id.str()},
                        {"workspace", job.submission_.workspace_.str()},
                        {"tasks", std::to_string(job.progress_.tasks_.size())},
-                       {"bytes", std::to_string(encode(recordOf(job.progress_)).size())},
+                       {"bytes", std::to_string(encodeProgress({id, 0, recordOf(job.progress_), job.isFolded_, false, {}}).size())},
                        {"limit", std::to_string(cluster_.limits_.maxRecordBytes_)}});
     std::vector<RunId> unstored;
     for (auto run = cluster_.runs_.lower_bound(RunId{{id, 0, 0, 0}, 0}); run != cluster_.runs_.end() && run->first.task_.job_ == id; ++run) {
@@ -469,7 +476,7 @@
     while (!orphanedHistories_.empty() && commit.writes_.size() < maxWritesPerCommit) {
         const JobId id = orphanedHistories_.back();
         orphanedHistories_.pop_back();
-        commit.writes_.push_back({id, 0, {}, true, CrashHistory{id, {}}});
+        commit.writes_.push_back({id, 0, {}, false, true, CrashHistory{id, {}}});
     }
     for (const JobId &id : commit.writes_.empty() ? jobsToWrite() : std::vector<JobId>()) {
         Job &job = cluster_.jobs_.at(id);
@@ -478,7 +485,7 @@
         } else {
             inFlight.versions_.emplace_back(id, job.version_);
         }
-        commit.writes_.push_back({id, job.revision_, recordOf(job.progress_), job.removing_, crashHistoryToStore(job)});
+        commit.writes_.push_back({id, job.revision_, recordOf(job.progress_), job.isFolded_, job.removing_, crashHistoryToStore(job)});
         job.crashesStored_ = job.crashesStored_ || !job.crashes_.empty();
     }
     if (commit.writes_.empty()) {
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -101,10 +101,14 @@
     JobId job_;
     std::int64_t expected_ = 0; ///< expected revision of the job's progress key; 0 for absent
     Progress progress_;
+    bool isFolded_ = false; ///< the progress is stored as FoldedProgress
     bool remove_ = false; ///< delete all records of the job
     std::optional<CrashHistory> crashes_; ///< replaces the stored crash history, which is deleted if this one has no tasks; unset to keep it
 };
 
+/// Returns the bytes to store of the progress in \p write. Thread-safe on const objects.
+[[nodiscard]] std::string encodeProgress(const ProgressWrite &write);
+
 /// Writes for one transaction, conditional on this leader still holding the leader's key.
 struct Commit
 {
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -1,6 +1,7 @@
 #include "core/batch/placing.h"
 
 #include "core/batch/advising.h"
+#include "core/batch/folded_record.h"
 #include "core/batch/guarantees.h"
 #include "core/batch/health.h"
 #include "core/batch/holding.h"
@@ -9,7 +10,6 @@
 #include "core/batch/pace.h"
 #include "core/batch/preemption.h"
 #include "core/batch/racks.h"
-#include "core/batch/record.h"
 
 #include <algorithm>
 #include <limits>
@@ -270,7 +270,8 @@
 {
     const Job &job = *group.job_;
     const bool together = job.submission_.steps_[group.group_.step_].gang_;
-    group.tasks_ = tasksWithinRecord(job.submission_, job.progress_, std::move(group.tasks_), together, cluster.limits_.maxRecordBytes_);
+    const auto limit = job.isFolded_ ? tasksWithinFoldedRecord : tasksWithinRecord;
+    group.tasks_ = limit(job.submission_, job.progress_, std::move(group.tasks_), together, cluster.limits_.maxRecordBytes_);
 }
 
 /// Logs, once for each group, that \p held executors are held for it.
--- a/src/core/batch/record.cpp
+++ b/src/core/batch/record.cpp
@@ -1,6 +1,7 @@
 #include "core/batch/record.h"
 
 #include "core/batch/codec.h"
+#include "core/batch/record_sizes.h"
 
 #include <algorithm>
 
@@ -8,18 +9,11 @@
 
 namespace {
 
-// Allowances for what isn't known at hand-in. A record that outgrows them all the same is rejected by the store, which Leader handles.
-
-constexpr std::size_t fixedBytes = 256; ///< header, id, state and times
-constexpr std::size_t emptyTaskBytes = 30; ///< a task that hasn't begun, or is done
 constexpr std::size_t failedRunsBytes = 4 * sizeof(std::uint32_t);
 constexpr std::size_t checkpointBytes = 64;
-constexpr std::size_t placeBytes = 128; ///< names of executor and host, while a task is assigned
 
-/// Tasks that a job of more may have assigned at a time, whatever has become of the others.
-constexpr std::size_t minAssignable = 1'000;
+}
 
-/// Returns what a task of \p job that isn't done takes while it isn't assigned.
 std::size_t waitingTaskBytes(const Submission &job)
 {
     const bool checkpoints = std::any_of(job.steps_.begin(), job.steps_.end(), [](const Step &step) { return step.checkpointable_; });
@@ -40,7 +34,6 @@
     return tasks;
 }
 
-/// Returns how many tasks of \p job must run at the same time, sooner or later.
 std::size_t countTasksAtOnce(const Submission &job)
 {
     std::size_t lasting = 0;
@@ -55,8 +48,6 @@
     return lasting + largestGang;
 }
 
-}
-
 Progress recordOf(Progress progress)
 {
     for (TaskProgress &task : progress.tasks_) {
@@ -78,7 +69,7 @@
     if (submissionBytes > maxBytes) {
         return RecordExcess{ExcessKind::Submission, submissionBytes, maxBytes};
     }
-    const std::size_t room = maxBytes > fixedBytes ? maxBytes - fixedBytes : 0;
+    const std::size_t room = maxBytes > fixedRecordBytes ? maxBytes - fixedRecordBytes : 0;
     const std::size_t waitingBytes = waitingTaskBytes(job);
     const std::size_t tasks = countTasks(job);
     std::size_t maxTasks = room / (waitingBytes + placeBytes);
@@ -96,11 +87,11 @@
 std::vector<std::size_t> tasksWithinRecord(const Submission &job, const Progress &progress, std::vector<std::size_t> tasks, bool together, std::size_t maxBytes)
 {
     const std::size_t assignedBytes = waitingTaskBytes(job) + placeBytes;
-    if (fixedBytes + progress.tasks_.size() * assignedBytes <= maxBytes) {
+    if (fixedRecordBytes + progress.tasks_.size() * assignedBytes <= maxBytes) {
         return tasks; // the usual case
     }
     const auto bytesOf = [&](const TaskProgress &task) { return task.assigned_ ? std::max(assignedBytes, taskBytes(task) + placeBytes) : taskBytes(task); };
-    std::size_t bytes = fixedBytes;
+    std::size_t bytes = fixedRecordBytes;
     for (const TaskProgress &task : progress.tasks_) {
         bytes += bytesOf(task);
     }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -63,11 +63,15 @@
     if (std::find(failedRuns.begin(), failedRuns.end(), run.run_) != failedRuns.end() || job.progress_.tasks_[index].done_) {
         return;
     }
+    const bool limitsAttempts = !job.submission_.steps_[run.task_.step_].longRunning_;
     for (std::size_t member = first; member < end; ++member) {
-        job.progress_.tasks_[member].failedRuns_.push_back(run.run_);
+        std::vector<std::uint32_t> &failures = job.progress_.tasks_[member].failedRuns_;
+        if (!limitsAttempts && failures.size() >= maxFailedRunsOfLastingTask) {
+            failures.erase(failures.begin());
+        }
+        failures.push_back(run.run_);
     }
     job.markChanged();
-    const bool limitsAttempts = !job.submission_.steps_[run.task_.step_].longRunning_;
     if (limitsAttempts && failedRuns.size() >= static_cast<std::size_t>(job.maxAttempts_)) {
         finishJob(cluster, job, JobState::Failed, "attempts-used-up");
     }
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -69,10 +69,10 @@
         []() -> std::optional<Answer> { return answerWithStatus(platform::statusBadRequest); });
 }
 
-/// Returns the answer to a submission of which a record may become larger than \p maxRecordBytes.
+/// Returns the answer to a submission of which a record may become larger, even folded, than \p maxRecordBytes.
 std::optional<Answer> refuseExcess(const batch::Submission &submission, std::size_t maxRecordBytes)
 {
-    const auto excess = batch::recordExcess(submission, maxRecordBytes);
+    const auto excess = batch::foldedRecordExcess(submission, maxRecordBytes);
     if (!excess) {
         return std::nullopt;
     }
@@ -233,7 +233,8 @@
     platform::Transaction transaction;
     const std::string key = keys::jobs + request.id_;
     transaction.expected_ = {{key, 0}};
-    transaction.puts_ = {{key, batch::encode(submission), 0}};
+    const std::string record = batch::isFolded(submission, maxRecordBytes_) ? batch::encodeLong(submission) : batch::encode(submission);
+    transaction.puts_ = {{key, record, 0}};
     bool mayBeStored = false;
     do {
         const int status = leaf::try_handle_all(
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -302,7 +302,7 @@
             if (write.remove_) {
                 transaction.removals_.insert(transaction.removals_.end(), {key, keys::jobs + write.job_.str(), keys::cancels + write.job_.str()});
             } else {
-                transaction.puts_.push_back({key, batch::encode(write.progress_), 0});
+                transaction.puts_.push_back({key, batch::encodeProgress(write), 0});
             }
         }
         return transaction;
--- a/tests/fuzz/product_decoders.cpp
+++ b/tests/fuzz/product_decoders.cpp
@@ -55,6 +55,15 @@
     });
 }
 
+void decodeFoldedProgress(const std::string &input)
+{
+    decodePayload(batch::PayloadKind::FoldedProgress, input, [](const std::string &bytes) -> Result<void> {
+        BOOST_LEAF_AUTO(value, batch::decodeProgress(bytes));
+        BOOST_LEAF_CHECK(batch::decodeProgress(batch::encode(batch::fold(batch::recordOf(value)))));
+        return {};
+    });
+}
+
 void decodeProgress(const std::string &input)
 {
     decodePayload(batch::PayloadKind::Progress, input, [](const std::string &bytes) -> Result<void> {
@@ -200,6 +209,7 @@
 constexpr std::array decoders{
     Decoder{"submission", decodeSubmission},
     Decoder{"progress", decodeProgress},
+    Decoder{"folded-progress", decodeFoldedProgress},
     Decoder{"crash-history", decodeCrashHistory},
     Decoder{"report", decodeReport},
     Decoder{"directive", decodeDirective},
--- a/tests/support/formats.cpp
+++ b/tests/support/formats.cpp
@@ -26,6 +26,20 @@
     return batch::encode(value);
 }
 
+#if __has_include("core/batch/folded_record.h")
+Result<std::string> rewriteLongJob(std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(job, batch::decodeSubmission(bytes));
+    return batch::encodeLong(job);
+}
+
+Result<std::string> rewriteFoldedProgress(std::string_view bytes)
+{
+    BOOST_LEAF_AUTO(progress, batch::decodeProgress(bytes));
+    return batch::encode(batch::fold(progress));
+}
+#endif
+
 Result<std::string> rewriteCall(std::string_view bytes)
 {
     BOOST_LEAF_AUTO(call, node::decodeCall(bytes));
@@ -250,6 +264,10 @@
                            batch::encode(progressSample(static_cast<batch::JobState>(state))),
                            rewritePayload<batch::Progress, batch::decodeProgress>});
     }
+#if __has_include("core/batch/folded_record.h")
+    samples.push_back({keys::jobs, "long-job", batch::encodeLong(submissionSample()), rewriteLongJob});
+    samples.push_back({keys::progress, "folded-progress", batch::encode(batch::fold(progressSample(batch::JobState::Running))), rewriteFoldedProgress});
+#endif
 #if __has_include("core/batch/crash_history.h")
     const batch::CrashHistory history{JobId("00000000000000aa"), {{1, 2, 3, milliseconds(4), milliseconds(5), incarnationSample(), true, true, true}, {}}};
     samples.push_back({keys::crashes, "crash-history", batch::encode(history), rewritePayload<batch::CrashHistory, batch::decodeCrashHistory>});
