An answer that an executor of another name will never give holds up nothing

A start that was called just before its executor was replaced by one of another name is kept as ended, so that the leader hears of the call. When its call timed out afterwards, it counted as outstanding again: the new executor's ends were acknowledged up to 12 s late. Found by reading. lostAnswerOfAnExecutorOfAnotherNameHoldsUpNoAcknowledgement failed before.

--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -102,6 +102,7 @@
         } else if (isUncalled(order)) {
             enter(order, Phase::Refused, now);
         } else if (isInDoubt(order) && !order.mayHaveFormerCalls_) {
+            order.isOfFormerName_ = !sameName;
             order.callsInProgress_ = 0;
             order.unansweredCalls_ = 0; // none is carried out by an executor of another name
             enter(order, Phase::Ended, now);
@@ -247,7 +248,7 @@
         lateStartsUntil_ = now + maxCallDelay;
     }
     const auto found = orders_.find(run);
-    if (found == orders_.end()) {
+    if (found == orders_.end() || found->second.isOfFormerName_) {
         return StartOutcome::NotAwaited;
     }
     Order &order = found->second;
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -167,6 +167,7 @@
         bool hasEnded_ = false; ///< no longer listed after its stop, although a call of its start may still be carried out
         bool listed_ = false; ///< lists requested after the start was accepted show whether it runs
         bool awaitsAnswer_ = false; ///< its start is called once the executor has answered a poll
+        bool isOfFormerName_ = false; ///< its calls were made to an executor of another name, which has ended
         bool calledAfterAnswer_ = false; ///< its start was first called when the executor had just answered
     };
 
--- a/tests/unit/batch_repeated_start_test.cpp
+++ b/tests/unit/batch_repeated_start_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(startThatAFormerProcessMayHaveCalledIsStoppedIfTheExecutorDoesNotAnswer);
     CPPUNIT_TEST(uncalledStartIsRefusedAfterTheExecutorWasReplaced);
     CPPUNIT_TEST(calledStartHasEndedAfterTheExecutorWasReplaced);
+    CPPUNIT_TEST(lostAnswerOfAnExecutorOfAnotherNameHoldsUpNoAcknowledgement);
     CPPUNIT_TEST(callIsReportedAtOnce);
     CPPUNIT_TEST(uncalledStartIsNotReported);
     CPPUNIT_TEST(nothingIsAcknowledgedWhileAStartMayBeLate);
@@ -118,6 +119,24 @@
         CPPUNIT_ASSERT(AgentBench::outcomeOf(bench.report(), laterRun) == OrderOutcome::StopConfirmed);
     }
 
+    void lostAnswerOfAnExecutorOfAnotherNameHoldsUpNoAcknowledgement()
+    {
+        StartBench bench(laterRun);
+        (void)bench.step({bench.answer({})});
+        bench.replaceExecutor("y");
+        (void)bench.step({batch::StartAnswered{laterRun, batch::OrderAnswer::Unknown, "timeout"}});
+        CPPUNIT_ASSERT(!AgentBench::mayBeRunning(bench.report(), laterRun));
+        batch::PollAnswered lists = bench.answer({});
+        lists.startTimeMs_ = 9'000;
+        lists.ended_ = {{1, {{JobId("other"), 0, 0, 0}, 1}, batch::EndKind::Done, ""}};
+        (void)bench.step({lists});
+        batch::Directive stored = bench.directive();
+        stored.incarnation_ = {ExecutorId("y"), 9'000, "host"};
+        stored.acknowledged_ = 1;
+        (void)bench.step({stored});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, bench.nextPoll().acknowledged_);
+    }
+
     void callIsReportedAtOnce()
     {
         StartBench bench(laterRun);
