--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-2" removed-queue "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case-2" late-acknowledgement "$(dirname "$0")"
--- a/review/harness-2/executor.cpp
+++ b/review/harness-2/executor.cpp
@@ -226,7 +226,13 @@
         }
         extend(body);
         const auto cursor = body.value("ack_cursor", std::int64_t{0});
-        std::erase_if(ended_, [cursor](const End &end) { return end.number_ <= cursor; });
+        std::erase_if(ended_, [&](const End &end) {
+            const bool acknowledged = end.number_ <= cursor;
+            if (acknowledged) {
+                events_.add("end-taken-note-of", {{"executor", id_}, {"task", end.task_}, {"run", end.run_}, {"how", end.how_}, {"ack_cursor", cursor}});
+            }
+            return acknowledged;
+        });
         const milliseconds wait(std::min<std::int64_t>(body.value("wait_ms", std::int64_t{0}), 2'000));
         changed_.wait_for(lock, wait, [this] { return !ended_.empty(); });
         Json running = Json::array();
--- a/review/harness-2/fleet.cpp
+++ b/review/harness-2/fleet.cpp
@@ -57,7 +57,7 @@
         const std::string network = "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
         bool free = true;
         for (int host = 1; host <= 40 && free; ++host) {
-            for (const int port : {frontPort, readinessPort, controlPort, executorPort, 7000, 7001, 9464}) {
+            for (const int port : {frontPort, readinessPort, controlPort, executorPort, executorLinkPort, 7000, 7001, 9464}) {
                 free = free && isFree(network + std::to_string(host), port);
             }
         }
@@ -166,12 +166,15 @@
         each.host_ = host(entries + number);
         each.zone_ = zones[number % 4];
         each.labels_ = {"a", "r1-" + std::to_string(number / 3)};
+        if (number == 0) {
+            firstExecutorLink_ = std::make_unique<HeldLink>(at(each.host_, executorPort), at(each.host_, executorLinkPort));
+        }
         const std::string name = "side-" + each.zone_ + "-" + std::to_string(number / 4 + 1);
         each.agent_ = make("agent",
                            name,
                            settings(name, "side", each.host_, each.zone_, store_.address())
                                + "limits.cpu_share=0.15\nlimits.memory_mb=128\nlimits.max_fds=4096\nlisten.control=" + at(each.host_, controlPort)
-                               + "\napp=" + at(each.host_, executorPort) + "\nservice=" + service_ + "\n");
+                               + "\napp=" + at(each.host_, number == 0 ? executorLinkPort : executorPort) + "\nservice=" + service_ + "\n");
     }
 }
 
@@ -300,10 +303,12 @@
     return reply.status_ == 200 && body.is_object() ? body.value("state", "") : "";
 }
 
-void Fleet::startExecutor(std::size_t number)
+void Fleet::startExecutor(std::size_t number, bool sameId)
 {
     ExecutorHost &each = executors_.at(number);
-    each.id_ = "i-" + std::to_string(1'000 + number) + std::to_string(++each.lives_) + std::to_string(unixMs() % 100'000);
+    if (!sameId) {
+        each.id_ = "i-" + std::to_string(1'000 + number) + std::to_string(++each.lives_) + std::to_string(unixMs() % 100'000);
+    }
     const Json about{{"service", service_},
                      {"address", at(each.host_, executorPort)},
                      {"zone", each.zone_},
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -85,7 +85,8 @@
     /// Returns the state that an entry tells, or an empty string.
     [[nodiscard]] std::string state(const std::string &path);
 
-    void startExecutor(std::size_t number);
+    /// \p sameId tells whether it has the id of its former life.
+    void startExecutor(std::size_t number, bool sameId = false);
     void killExecutor(std::size_t number);
     [[nodiscard]] std::optional<std::size_t> executorOf(const std::string &id) const;
 
@@ -103,6 +104,7 @@
     std::deque<ExecutorHost> executors_;
     std::deque<std::unique_ptr<Process>> entries_;
     std::unique_ptr<HeldLink> firstEntryLink_; ///< the way of the first entry to the store
+    std::unique_ptr<HeldLink> firstExecutorLink_; ///< the way of the first agent to its executor
     std::string queue_ = "/pule252/";
     std::string otherQueue_ = "/lohu930/";
     std::string hostName_ = "nony24.example";
@@ -135,5 +137,6 @@
 constexpr int controlPort = 8526;
 constexpr int executorPort = 8529;
 constexpr int advicePort = 8524;
+constexpr int executorLinkPort = 8528;
 
 }
--- a/review/harness-2/main.cpp
+++ b/review/harness-2/main.cpp
@@ -250,9 +250,9 @@
     }
     pause(2'000);
     if (trouble) {
-        Json large = step(8, 60'000);
+        Json large = step(8, 3'600'000);
         large["count"] = fleet.executors_.size();
-        if (!fleet.submit(fleet.otherQueue_ + "d90e61b3f2a7c485", {{"spec", "work 60000"}, {"steps", Json::array({large})}})) {
+        if (!fleet.submit(fleet.otherQueue_ + "d90e61b3f2a7c485", {{"spec", "work 3600000"}, {"steps", Json::array({large})}})) {
             return couldNotRun;
         }
         pause(1'000);
@@ -277,11 +277,13 @@
     const std::string job = "a93f5d07c8e1b624";
     const std::string path = fleet.queue_ + job;
     if (trouble) {
-        fleet.firstEntryLink_->holdNext(job, milliseconds(4'000));
+        fleet.firstEntryLink_->holdNext(
+            [&job](const std::string &request) { return request.find("kv-txn") != std::string::npos && request.find(job) != std::string::npos; },
+            milliseconds(4'000));
     }
     const Json body{{"spec", "work 30000"}, {"steps", Json::array({step(1, 30'000)})}};
     const int accepted = fleet.call(0, "POST", path, body.dump(), milliseconds(3'000), milliseconds(500)).status_;
-    if (trouble != fleet.firstEntryLink_->hasHeld() || (accepted == 200) == trouble) {
+    if (trouble != (fleet.firstEntryLink_->held() == 1) || (accepted == 200) == trouble) {
         return couldNotRun;
     }
     int cancelled = 0;
@@ -300,6 +302,88 @@
                         + fleet.state(path));
 }
 
+/// Asks for the state twice a second at most.
+bool isCompleted(Fleet &fleet, const std::string &path)
+{
+    pause(450);
+    return fleet.state(path) == "completed";
+}
+
+/// A machine loses power with its executor, which comes back under its id. Two calls to its former life are carried out late: a look that takes note
+/// of an end, and a start that was called after it.
+Verdict lateAcknowledgement(Fleet &fleet, bool trouble)
+{
+    fleet.executors_.at(0).labels_ = {"b", "r1-0"};
+    if (!fleet.start()) {
+        return couldNotRun;
+    }
+    pause(3'000);
+    const auto jobFor = [](int ms) {
+        Json first = step(1, ms);
+        first["constraints"] = "b";
+        return Json{{"spec", "work " + std::to_string(ms)}, {"steps", Json::array({first})}};
+    };
+    // Other work, so that the two late calls are a small share of the calls to executors.
+    Json others = step(0, 3'000);
+    others["count"] = 40;
+    others["constraints"] = "a";
+    const std::string beside = "6f01d9c37a4be852";
+    if (!fleet.submit(fleet.queue_ + beside, {{"spec", "work 3000"}, {"steps", Json::array({others})}})) {
+        return couldNotRun;
+    }
+    const std::string before = "b7c2e94a10d6f385";
+    const std::string job = "29d84f7be03c16a5";
+    HeldLink &link = *fleet.firstExecutorLink_;
+    ExecutorHost &host = fleet.executors_.at(0);
+    if (trouble) {
+        link.holdNext(
+            [](const std::string &request) {
+                return request.find("/bergamotwick/hold") != std::string::npos && request.find("\"ack_cursor\":0,") == std::string::npos;
+            },
+            milliseconds(3'300));
+    }
+    if (!fleet.submit(fleet.queue_ + before, jobFor(300)) || (trouble && !Fleet::waitFor(milliseconds(5'000), [&] { return link.held() == 1; }))) {
+        return couldNotRun;
+    }
+    if (trouble) {
+        fleet.record_.add("hold-call-held", {{"for_ms", 3'300}});
+        link.holdNext(
+            [&job](const std::string &request) {
+                return request.find("/bergamotwick/run-start") != std::string::npos && request.find(job) != std::string::npos;
+            },
+            milliseconds(2'400));
+    }
+    if (!fleet.submit(fleet.queue_ + job, jobFor(300)) || (trouble && !Fleet::waitFor(milliseconds(1'000), [&] { return link.held() == 2; }))) {
+        return couldNotRun;
+    }
+    if (trouble) {
+        fleet.record_.add("start-call-held", {{"for_ms", 2'400}});
+        host.agent_->signal(SIGKILL);
+        fleet.killExecutor(0);
+        fleet.record_.add("agent-killed", {{"machine", host.host_}});
+        host.agent_->waitForEnd(milliseconds(2'000));
+        pause(2'100);
+        fleet.startExecutor(0, true);
+        pause(1'400);
+        host.agent_->start();
+        fleet.record_.add("agent-started", {{"machine", host.host_}});
+    }
+    const auto happened = [&](const std::string &what) {
+        return fleet.events([&](const Json &event) {
+            return event.at("what") == what && event.at("task").get<std::string>().starts_with(job + ".") && (what == "start" || event.at("how") == "done");
+        });
+    };
+    Fleet::waitFor(milliseconds(60'000), [&] { return happened("start").size() > 1 || isCompleted(fleet, fleet.queue_ + job); });
+    pause(1'000);
+    const auto noted = happened("end-taken-note-of");
+    const auto starts = happened("start");
+    const bool again = !noted.empty() && !starts.empty() && starts.back().at("at") > noted.front().at("at");
+    return conclude(fleet,
+                    again,
+                    "the task was started " + std::to_string(starts.size()) + " times and ended done " + std::to_string(happened("end").size()) + " times; "
+                        + (again ? "the last start came after an end done had been taken note of" : "no start came after an end done that was taken note of"));
+}
+
 Verdict run(const std::string &name, Fleet &fleet, bool trouble)
 {
     if (name == "stray-heartbeat") {
@@ -314,6 +398,9 @@
     if (name == "cancelled-submission") {
         return cancelledSubmission(fleet, trouble);
     }
+    if (name == "late-acknowledgement") {
+        return lateAcknowledgement(fleet, trouble);
+    }
     if (name == "large-job") {
         return largeJob(fleet, trouble);
     }
