--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-2" crashed-executors "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case-2" removed-queue "$(dirname "$0")"
