--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-2" advice-burst "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case-2" cancelled-submission "$(dirname "$0")"
