A task that is done isn't done again by two late calls to a former life of its executor

Cause: an agent acknowledged nothing while a start was outstanding, but called starts while a poll that acknowledges was outstanding. If host and agent lose power, the executor's next life, which has seen no fencing token, carries out the start, then the poll, whose cursor covers the end of that run. Nobody has heard of it.

Change: the fencing token rises before a start if such a poll may still be carried out (FencingTokens), so that a life that has carried out the start refuses the poll. Polls that acknowledge no longer wait for ends, so that this is rare. Related orders of two calls: a former process's poll before a start (the first start of a process raises the token by the executor's uptime), a former process's start before a poll (the leader tells the agent of no acknowledgement meanwhile), a birth whose part of the token begins anew.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -12,18 +12,12 @@
 /// Interval of reports while nothing changes; they also serve as the agent's heartbeat.
 constexpr milliseconds reportPeriod{500};
 
-/// Polls that are further apart than this don't show what the executor did in the meantime: the agent's process was paused.
-constexpr milliseconds maxPollGap{1'000};
-
 /// How long a start may wait to be sent to the executor. Later, the executor may be another one, or have less capacity.
 constexpr milliseconds maxCallQueueTime{1'000};
 
 /// As above, for a start that is called only because the executor has just answered.
 constexpr milliseconds maxCallQueueTimeAfterAnswer{200};
 
-/// Consecutive polls without an answer after which the executor is reported as unresponsive and gets no new work.
-constexpr int failedPollsUntilUnresponsive = 2;
-
 /// Delay before an executor is polled again that hasn't answered.
 constexpr milliseconds pollRetryDelayNormally{200};
 
@@ -93,9 +87,15 @@
     return areAllHeld ? pollDelayWhileEndsAreHeld : pollDelayUntilAcknowledged;
 }
 
+/// Returns a poll that waits for an end for up to \p wait. One that acknowledges ends doesn't wait: the tokens of starts rise until it is answered.
 PollCall AgentCore::pollCall(milliseconds wait)
 {
-    return {polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
+    PollCall call{polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
+    if (call.acknowledged_ > 0) {
+        fencingTokens_.acknowledgementSent();
+        call.wait_ = milliseconds(0);
+    }
+    return call;
 }
 
 /// Returns whether a call of the start of the run that \p end belongs to may have been carried out after the lists with the end were made.
@@ -106,7 +106,8 @@
 
 /// Returns the number up to which the next poll acknowledges ends, or 0 if it has none to acknowledge. A run must not end for good before lists that were
 /// requested after its start could be carried out show the end. A poll that is held up may reach the next incarnation, whose ends are numbered anew: so none
-/// acknowledges needlessly, or while that incarnation may carry out a start by itself, whose end nobody would see.
+/// acknowledges needlessly, or while that incarnation may carry out a start by itself, whose end nobody would see. For starts that a former process has
+/// called, the leader sees to that.
 std::int64_t AgentCore::acknowledgement() const
 {
     if (!incarnationConfirmed_ || orders_.lateStarts(now_) > 0) {
@@ -167,12 +168,26 @@
     return std::max({executor_.incarnation_.startTimeMs_, answeringStartTimeMs_, formerIncarnation_.startTimeMs_});
 }
 
-std::int64_t AgentCore::fencingToken() const
+std::int64_t AgentCore::fencingToken()
+{
+    fencingTokens_.follow(epoch_, presentStartTimeMs());
+    return fencingTokens_.current();
+}
+
+bool AgentCore::isOfPresentTerm(std::int64_t fencingToken)
+{
+    fencingTokens_.follow(epoch_, presentStartTimeMs());
+    return epoch_ != 0 && fencingTokens_.isOfPresentTerm(fencingToken);
+}
+
+/// Returns for how long the executor has run by its own clock, or 0 if that is unknown.
+milliseconds AgentCore::executorUptime() const
 {
-    // A new incarnation under the same name has seen no token yet, and an order for the previous one may still be in transit. So the token
-    // also rises with each incarnation: its low part is the start time in tenths of a second, modulo 2^20, which is more than a day.
-    constexpr std::int64_t incarnationModulus = std::int64_t{1} << 20;
-    return epoch_ * incarnationModulus + presentStartTimeMs() / 100 % incarnationModulus;
+    if (clockKnown_) {
+        return executorClock(now_);
+    }
+    const bool isKnown = heartbeatClock_.count() > 0;
+    return isKnown ? heartbeatClock_ + std::chrono::duration_cast<milliseconds>(now_ - heartbeatAt_) : milliseconds(0);
 }
 
 ExecutorTime AgentCore::executorClock(Instant at) const
@@ -283,7 +298,9 @@
         reportDue_ = true;
         log("start-given-up", {{"run", toString(run)}, {"reason", "no-answer"}});
     }
-    for (const RunId &run : orders_.takeDue(now_)) {
+    const std::vector<RunId> due = orders_.takeDue(now_);
+    raiseTokenForStarts(due);
+    for (const RunId &run : due) {
         const StartOrder *start = orders_.startOf(run);
         const bool isRepeated = run.run_ > 1;
         if (start == nullptr) {
@@ -300,6 +317,27 @@
     }
 }
 
+/// Raises the token if one of the \p due orders is a start and a poll with the present token may still acknowledge ends, perhaps one of a former process.
+void AgentCore::raiseTokenForStarts(const std::vector<RunId> &due)
+{
+    if (std::none_of(due.begin(), due.end(), [this](const RunId &run) { return orders_.startOf(run) != nullptr; })) {
+        return;
+    }
+    fencingTokens_.follow(epoch_, presentStartTimeMs());
+    const bool mayBeFormer = acknowledged_ > 0 && !orders_.knowsAllCalls(now_) && fencingTokens_.mayBeOfFormerProcess();
+    if (fencingTokens_.mayAcknowledgeLate()) {
+        raiseToken("acknowledgement-unanswered");
+    } else if (mayBeFormer) {
+        raiseToken("former-process");
+    }
+}
+
+void AgentCore::raiseToken(const char *reason)
+{
+    fencingTokens_.raise(executorUptime());
+    log("token-raised", {{"executor", executor_.incarnation_.executor_.str()}, {"reason", reason}, {"token", std::to_string(fencingTokens_.current())}});
+}
+
 void AgentCore::handle(const LeaderConnected &)
 {
     reportDue_ = true;
@@ -385,6 +423,7 @@
     heartbeatSequence_ = heartbeat.sequence_;
     heardAt_ = now_;
     heartbeatAt_ = sentAt(heartbeat);
+    heartbeatClock_ = heartbeat.clock_;
     // An executor that is ready doesn't end; a former incarnation under the same name announced it.
     const bool hasLeft = sameIncarnation && executor_.hasLeft_ && heartbeat.executor_.draining_;
     reportDue_ = reportDue_ || hasLeft != executor_.hasLeft_;
@@ -420,135 +459,6 @@
     reportDue_ = true;
 }
 
-void AgentCore::handle(const PollAnswered &answer)
-{
-    refusedSince_.reset();
-    failedPolls_ = 0;
-    const std::int64_t startTimeMs = startTimeOf(answer);
-    if (startTimeMs == presentStartTimeMs()) {
-        heardAt_ = now_;
-        if (answer.fencingToken_ == fencingToken() && epoch_ != 0) {
-            noteFenced(startTimeMs);
-        }
-    }
-    incarnationConfirmed_ = startTimeMs == executor_.incarnation_.startTimeMs_;
-    if (!incarnationConfirmed_ || executor_.incarnation_.executor_.empty()) {
-        noteReplacement(startTimeMs);
-        return; // the next heartbeat announces the present incarnation
-    }
-    // The executor read its clock before the answer arrived, so its clock at clockAt_ is at least clock_. Apart from clock drift, leases
-    // computed from clock_ thus end early rather than late.
-    clock_ = answer.clock_;
-    clockAt_ = now_;
-    clockKnown_ = true;
-    if (answer.fencingToken_ != fencingToken() || epoch_ == 0) {
-        return;
-    }
-    orders_.executorAnswered(now_, answer.sentAt_);
-    if (listsValid_ && answer.sentAt_ < listsSentAt_) {
-        return; // the answer to a later poll has already been processed
-    }
-    listsSentAt_ = answer.sentAt_;
-    const auto isHeld = [this](const EndedRun &end) { return mayStartAgain(end); };
-    const bool hasEnds = !std::all_of(answer.ended_.begin(), answer.ended_.end(), isHeld) || answer.ended_.size() != ended_.size();
-    const bool changed = !listsValid_ || answer.running_.size() != running_.size() || hasEnds;
-    listsValid_ = true;
-    listedAt_ = std::min(now_, answer.sentAt_ + answer.wait_).time_since_epoch();
-    running_ = answer.running_;
-    ended_ = answer.ended_;
-    Orders::ListedRuns lists{answer.sentAt_, {}, {}, answer.ended_.size() < maxEndsPerList};
-    for (const RunningTask &task : answer.running_) {
-        lists.running_.insert(task.run_);
-    }
-    for (const EndedRun &end : answer.ended_) {
-        lists.ended_.insert(end.run_);
-    }
-    const bool settled = orders_.applyLists(now_, lists);
-    reportDue_ = reportDue_ || changed || settled;
-}
-
-/// Returns whether the executor's process has ended: its host refuses connections, and it has sent no heartbeat in the meantime.
-bool AgentCore::isGone() const
-{
-    return refusedSince_ && now_ - *refusedSince_ >= heartbeatLimits_.maxGap_ && heartbeatAt_ <= *refusedSince_;
-}
-
-/// Returns the corrected start time of the incarnation that gave \p answer. An answer to a poll that was sent after the present incarnation was last
-/// heard of comes from a later one, even if that says that it started earlier: its clock was set back.
-std::int64_t AgentCore::startTimeOf(const PollAnswered &answer)
-{
-    const std::int64_t startTimeMs = startTimes_.corrected(answer.startTimeMs_);
-    if (startTimeMs >= presentStartTimeMs() || answer.sentAt_ <= heardAt_) {
-        return startTimeMs;
-    }
-    log("executor-clock-set-back", {{"executor", executor_.incarnation_.executor_.str()}, {"born", std::to_string(answer.startTimeMs_)}});
-    return startTimes_.recordSuccessor(answer.startTimeMs_, presentStartTimeMs());
-}
-
-/// Records that the incarnation with \p startTimeMs has answered under its own fencing token: calls to a former one extend its lease no longer.
-void AgentCore::noteFenced(std::int64_t startTimeMs)
-{
-    if (fencedStartTimeMs_ == startTimeMs) {
-        return;
-    }
-    fencedStartTimeMs_ = startTimeMs;
-    lastLeaseEnd_ = now_ + withSlowClockAllowance(maxLeaseDuration_);
-}
-
-void AgentCore::noteReplacement(std::int64_t startTimeMs)
-{
-    if (startTimeMs <= presentStartTimeMs()) {
-        return;
-    }
-    log("executor-replaced",
-        {{"executor", executor_.incarnation_.executor_.str()},
-         {"born", std::to_string(startTimeMs)},
-         {"late_starts", std::to_string(orders_.lateStarts(now_))}});
-    answeringStartTimeMs_ = startTimeMs;
-    reportDue_ = true;
-    pollNow(); // its first fencing token, so that calls to the former incarnation aren't carried out
-}
-
-void AgentCore::handle(const PollFailed &failure)
-{
-    if (!failure.refused_) {
-        refusedSince_.reset();
-    } else {
-        refusedSince_ = refusedSince_ && now_ - refusedAt_ <= maxPollGap ? refusedSince_ : now_;
-        refusedAt_ = now_;
-    }
-    incarnationConfirmed_ = false;
-    reportDue_ = reportDue_ || failedPolls_ + 1 == failedPollsUntilUnresponsive;
-    ++failedPolls_;
-    if (executor_.incarnation_.executor_.empty() || epoch_ == 0) {
-        return;
-    }
-    if (isGone()) {
-        assumeNothingRuns("executor-gone");
-    } else if (clockKnown_ && now_ > lastLeaseEnd_ && !isReplaced()) {
-        assumeNothingRuns("lease-over");
-    }
-}
-
-void AgentCore::assumeNothingRuns(const char *reason)
-{
-    if (listsValid_ && running_.empty() && ended_.empty() && !orders_.isAnyOpen()) {
-        return;
-    }
-    log("executor-empty",
-        {{"executor", executor_.incarnation_.executor_.str()},
-         {"reason", reason},
-         {"late_starts", std::to_string(orders_.lateStarts(now_))},
-         {"lease_over_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - lastLeaseEnd_).count())},
-         {"lists_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - listsSentAt_).count())}});
-    listsValid_ = true;
-    listedAt_ = now_.time_since_epoch();
-    running_.clear();
-    ended_.clear();
-    orders_.executorEnded(now_, emptyAt());
-    reportDue_ = true;
-}
-
 Report AgentCore::report()
 {
     Report report;
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/batch/fencing_tokens.h"
 #include "core/batch/messages.h"
 #include "core/batch/orders.h"
 #include "core/batch/start_times.h"
@@ -46,6 +47,7 @@
     Instant sentAt_{};
     milliseconds wait_{0}; ///< how long the executor was allowed to wait for a run to end
     std::int64_t fencingToken_ = 0; ///< fencing token of the poll
+    std::int64_t acknowledged_ = 0; ///< number up to which the poll acknowledged ends
     std::int64_t startTimeMs_ = 0;
     ExecutorTime clock_{0};
     std::vector<RunningTask> running_;
@@ -55,6 +57,9 @@
 struct PollFailed
 {
     bool refused_ = false; ///< the connection was refused: the executor's process isn't running
+    bool fenced_ = false; ///< the executor has seen a higher fencing token
+    std::int64_t fencingToken_ = 0; ///< fencing token of the poll
+    std::int64_t acknowledged_ = 0; ///< number up to which the poll acknowledged ends
 };
 
 struct StartAnswered
@@ -136,6 +141,9 @@
     [[nodiscard]] milliseconds pollDelayAfterEnds() const;
 
 private:
+    /// Consecutive polls without an answer after which the executor is reported as unresponsive and gets no new work.
+    static constexpr int failedPollsUntilUnresponsive = 2;
+
     void handle(const Directive &directive);
     void handle(const HeartbeatReceived &heartbeat);
     void handle(const ExecutorLeft &left);
@@ -149,6 +157,8 @@
     [[nodiscard]] bool knowsCapacity() const;
     [[nodiscard]] bool isReplaced() const;
     void callDueOrders();
+    void raiseTokenForStarts(const std::vector<RunId> &due);
+    void raiseToken(const char *reason);
     [[nodiscard]] bool isGone() const;
     [[nodiscard]] Instant sentAt(const HeartbeatReceived &heartbeat) const;
     [[nodiscard]] std::int64_t startTimeOf(const PollAnswered &answer);
@@ -164,7 +174,9 @@
     [[nodiscard]] Instant knownAt() const;
     [[nodiscard]] const Incarnation &polledIncarnation() const;
     [[nodiscard]] std::int64_t presentStartTimeMs() const;
-    [[nodiscard]] std::int64_t fencingToken() const;
+    [[nodiscard]] std::int64_t fencingToken();
+    [[nodiscard]] bool isOfPresentTerm(std::int64_t fencingToken);
+    [[nodiscard]] milliseconds executorUptime() const;
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields);
     [[nodiscard]] ExecutorTime executorClock(Instant at) const;
     [[nodiscard]] std::optional<ExecutorTime> leaseEnd();
@@ -183,6 +195,7 @@
     Incarnation formerIncarnation_; ///< the host's last one that the leader knows of, while this process has heard of none
     std::int64_t heartbeatSequence_ = 0;
     Instant heartbeatAt_{}; ///< when the executor sent its last heartbeat
+    ExecutorTime heartbeatClock_{0}; ///< the executor's clock at heartbeatAt_; 0 if unknown
     Instant capacityShrankAt_{}; ///< when the executor last said that its capacity is smaller than before
     bool incarnationConfirmed_ = false; ///< executor_.incarnation_ answered the last call; ends of another incarnation must not be acknowledged
     std::int64_t answeringStartTimeMs_ = 0; ///< start time of the incarnation that answered the last poll
@@ -205,6 +218,7 @@
     std::vector<RunningTask> running_;
     std::vector<EndedRun> ended_; ///< as listed, with those that are acknowledged but not yet forgotten
     Orders orders_;
+    FencingTokens fencingTokens_;
     std::int64_t acknowledged_ = 0;
     std::uint64_t sequence_ = 0;
     std::map<std::uint64_t, Instant> sentReports_; ///< recent reports of this process by sequence number, with the time of each
--- /dev/null
+++ b/src/core/batch/agent_polls.cpp
@@ -0,0 +1,154 @@
+#include "core/batch/agent.h"
+
+#include "core/batch/board.h"
+
+#include <algorithm>
+
+namespace bergamotwick::batch {
+
+namespace {
+
+/// Polls that are further apart than this don't show what the executor did in the meantime: the agent's process was paused.
+constexpr milliseconds maxPollGap{1'000};
+
+}
+
+void AgentCore::handle(const PollAnswered &answer)
+{
+    refusedSince_.reset();
+    failedPolls_ = 0;
+    if (answer.acknowledged_ > 0) {
+        fencingTokens_.acknowledgementSettled(answer.fencingToken_);
+    }
+    const std::int64_t startTimeMs = startTimeOf(answer);
+    if (startTimeMs == presentStartTimeMs()) {
+        heardAt_ = now_;
+        if (isOfPresentTerm(answer.fencingToken_)) {
+            noteFenced(startTimeMs);
+        }
+    }
+    incarnationConfirmed_ = startTimeMs == executor_.incarnation_.startTimeMs_;
+    if (!incarnationConfirmed_ || executor_.incarnation_.executor_.empty()) {
+        noteReplacement(startTimeMs);
+        return; // the next heartbeat announces the present incarnation
+    }
+    // The executor read its clock before the answer arrived, so its clock at clockAt_ is at least clock_. Apart from clock drift, leases
+    // computed from clock_ thus end early rather than late.
+    clock_ = answer.clock_;
+    clockAt_ = now_;
+    clockKnown_ = true;
+    if (!isOfPresentTerm(answer.fencingToken_)) {
+        return;
+    }
+    orders_.executorAnswered(now_, answer.sentAt_);
+    if (listsValid_ && answer.sentAt_ < listsSentAt_) {
+        return; // the answer to a later poll has already been processed
+    }
+    listsSentAt_ = answer.sentAt_;
+    const auto isHeld = [this](const EndedRun &end) { return mayStartAgain(end); };
+    const bool hasEnds = !std::all_of(answer.ended_.begin(), answer.ended_.end(), isHeld) || answer.ended_.size() != ended_.size();
+    const bool changed = !listsValid_ || answer.running_.size() != running_.size() || hasEnds;
+    listsValid_ = true;
+    listedAt_ = std::min(now_, answer.sentAt_ + answer.wait_).time_since_epoch();
+    running_ = answer.running_;
+    ended_ = answer.ended_;
+    Orders::ListedRuns lists{answer.sentAt_, {}, {}, answer.ended_.size() < maxEndsPerList};
+    for (const RunningTask &task : answer.running_) {
+        lists.running_.insert(task.run_);
+    }
+    for (const EndedRun &end : answer.ended_) {
+        lists.ended_.insert(end.run_);
+    }
+    const bool settled = orders_.applyLists(now_, lists);
+    reportDue_ = reportDue_ || changed || settled;
+}
+
+/// Returns whether the executor's process has ended: its host refuses connections, and it has sent no heartbeat in the meantime.
+bool AgentCore::isGone() const
+{
+    return refusedSince_ && now_ - *refusedSince_ >= heartbeatLimits_.maxGap_ && heartbeatAt_ <= *refusedSince_;
+}
+
+/// Returns the corrected start time of the incarnation that gave \p answer. An answer to a poll that was sent after the present incarnation was last
+/// heard of comes from a later one, even if that says that it started earlier: its clock was set back.
+std::int64_t AgentCore::startTimeOf(const PollAnswered &answer)
+{
+    const std::int64_t startTimeMs = startTimes_.corrected(answer.startTimeMs_);
+    if (startTimeMs >= presentStartTimeMs() || answer.sentAt_ <= heardAt_) {
+        return startTimeMs;
+    }
+    log("executor-clock-set-back", {{"executor", executor_.incarnation_.executor_.str()}, {"born", std::to_string(answer.startTimeMs_)}});
+    return startTimes_.recordSuccessor(answer.startTimeMs_, presentStartTimeMs());
+}
+
+/// Records that the incarnation with \p startTimeMs has answered under its own fencing token: calls to a former one extend its lease no longer.
+void AgentCore::noteFenced(std::int64_t startTimeMs)
+{
+    if (fencedStartTimeMs_ == startTimeMs) {
+        return;
+    }
+    fencedStartTimeMs_ = startTimeMs;
+    lastLeaseEnd_ = now_ + withSlowClockAllowance(maxLeaseDuration_);
+}
+
+void AgentCore::noteReplacement(std::int64_t startTimeMs)
+{
+    if (startTimeMs <= presentStartTimeMs()) {
+        return;
+    }
+    log("executor-replaced",
+        {{"executor", executor_.incarnation_.executor_.str()},
+         {"born", std::to_string(startTimeMs)},
+         {"late_starts", std::to_string(orders_.lateStarts(now_))}});
+    answeringStartTimeMs_ = startTimeMs;
+    reportDue_ = true;
+    pollNow(); // its first fencing token, so that calls to the former incarnation aren't carried out
+}
+
+void AgentCore::handle(const PollFailed &failure)
+{
+    if (!failure.refused_) {
+        refusedSince_.reset();
+    } else {
+        refusedSince_ = refusedSince_ && now_ - refusedAt_ <= maxPollGap ? refusedSince_ : now_;
+        refusedAt_ = now_;
+    }
+    if (failure.acknowledged_ > 0 && (failure.refused_ || failure.fenced_)) {
+        fencingTokens_.acknowledgementSettled(failure.fencingToken_);
+    }
+    if (failure.fenced_ && epoch_ != 0 && failure.fencingToken_ == fencingToken()) {
+        raiseToken("fenced"); // a former process has raised it
+    }
+    incarnationConfirmed_ = false;
+    reportDue_ = reportDue_ || failedPolls_ + 1 == failedPollsUntilUnresponsive;
+    ++failedPolls_;
+    if (executor_.incarnation_.executor_.empty() || epoch_ == 0) {
+        return;
+    }
+    if (isGone()) {
+        assumeNothingRuns("executor-gone");
+    } else if (clockKnown_ && now_ > lastLeaseEnd_ && !isReplaced()) {
+        assumeNothingRuns("lease-over");
+    }
+}
+
+void AgentCore::assumeNothingRuns(const char *reason)
+{
+    if (listsValid_ && running_.empty() && ended_.empty() && !orders_.isAnyOpen()) {
+        return;
+    }
+    log("executor-empty",
+        {{"executor", executor_.incarnation_.executor_.str()},
+         {"reason", reason},
+         {"late_starts", std::to_string(orders_.lateStarts(now_))},
+         {"lease_over_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - lastLeaseEnd_).count())},
+         {"lists_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - listsSentAt_).count())}});
+    listsValid_ = true;
+    listedAt_ = now_.time_since_epoch();
+    running_.clear();
+    ended_.clear();
+    orders_.executorEnded(now_, emptyAt());
+    reportDue_ = true;
+}
+
+}
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -112,6 +112,12 @@
     return starts;
 }
 
+/// Returns whether a former process of \p agent may have called the start of \p run.
+bool mayBeOfFormerProcess(const Run &run, const Agent &agent)
+{
+    return run.inherited_ || agent.restartedAt_ > run.startedAt_;
+}
+
 /// Settles the runs on \p executor that match \p predicate. Settling one may remove other members of its gang.
 template<class Predicate>
 void settleRuns(ClusterState &cluster, const Executor &executor, const char *reason, Predicate predicate)
@@ -226,7 +232,19 @@
     if (knowsAllCalls(report) || evidenceTime(cluster, report) >= run.mayStartUntil_) {
         return false;
     }
-    return run.inherited_ || cluster.agents_.at(report.agent_).restartedAt_ > run.startedAt_;
+    return mayBeOfFormerProcess(run, cluster.agents_.at(report.agent_));
+}
+
+bool mayStartUnknown(const ClusterState &cluster, const Executor &executor)
+{
+    const auto agent = cluster.agents_.find(executor.agent_);
+    if (agent == cluster.agents_.end() || agent->second.sequence_ >= informedSequence) {
+        return false;
+    }
+    return std::any_of(executor.runs_.begin(), executor.runs_.end(), [&](const RunId &id) {
+        const Run &run = cluster.runs_.at(id);
+        return cluster.now_ < run.mayStartUntil_ && mayBeOfFormerProcess(run, agent->second);
+    });
 }
 
 void noteCalls(ClusterState &cluster, const Report &report)
--- a/src/core/batch/inferred_ends.h
+++ b/src/core/batch/inferred_ends.h
@@ -41,6 +41,9 @@
 /// process of the agent has called it.
 [[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Run &run, const Report &report);
 
+/// Returns whether a start on \p executor may still be carried out without its agent knowing of it, because a former process of the agent has called it.
+[[nodiscard]] bool mayStartUnknown(const ClusterState &cluster, const Executor &executor);
+
 /// Records of which runs \p report tells that their starts have been called.
 void noteCalls(ClusterState &cluster, const Report &report);
 
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -530,7 +530,8 @@
     }
     const Executor &executor = found->second;
     directive.incarnation_ = executor.info_.incarnation_;
-    directive.acknowledged_ = executor.acknowledged_;
+    // The acknowledgement may reach the next incarnation after a start that the agent doesn't know of, and would cover the end of that run.
+    directive.acknowledged_ = mayStartUnknown(cluster_, executor) ? 0 : executor.acknowledged_;
     if (cluster_.mayIssueOrders()) {
         directive.stops_ = executor.orphans_;
     }
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -185,13 +185,19 @@
             [&]() -> Result<PollResult> {
                 BOOST_LEAF_AUTO(result, client.poll(call.incarnation_, call.fencingToken_, call.acknowledged_, call.leaseEnd_, call.wait_));
                 const bool ended = !result.ended_.empty();
-                inputs_.put(batch::PollAnswered{
-                    sentAt, call.wait_, call.fencingToken_, result.startTimeMs_, result.clock_, std::move(result.running_), std::move(result.ended_)});
+                inputs_.put(batch::PollAnswered{sentAt,
+                                                call.wait_,
+                                                call.fencingToken_,
+                                                call.acknowledged_,
+                                                result.startTimeMs_,
+                                                result.clock_,
+                                                std::move(result.running_),
+                                                std::move(result.ended_)});
                 return ended ? PollResult::EndedRuns : PollResult::NoEndedRuns;
             },
             [&](const platform::PollError &error) {
                 const bool refused = error.code_ == platform::PollErrc::ConnectionRefused;
-                inputs_.put(batch::PollFailed{refused});
+                inputs_.put(batch::PollFailed{refused, error.code_ == platform::PollErrc::Fenced, call.fencingToken_, call.acknowledged_});
                 return refused ? PollResult::ConnectionRefused : PollResult::Failed;
             },
             [] { return PollResult::Failed; });
--- a/tests/batch/agent_bench.h
+++ b/tests/batch/agent_bench.h
@@ -72,6 +72,7 @@
         answer.sentAt_ = now_;
         answer.wait_ = call.wait_;
         answer.fencingToken_ = call.fencingToken_;
+        answer.acknowledged_ = call.acknowledged_;
         answer.startTimeMs_ = 5'000;
         answer.clock_ = 1s;
         answer.running_ = std::move(running);
--- a/tests/batch/cluster_calls.cpp
+++ b/tests/batch/cluster_calls.cpp
@@ -10,6 +10,7 @@
 constexpr milliseconds shortPollPause{50};
 
 constexpr const char *timeoutReason = "timeout";
+constexpr const char *fencedReason = "fence";
 
 template<class... Handlers>
 struct Overloaded : Handlers...
@@ -30,9 +31,9 @@
     return batch::StopAnswered{call.run_, answer, reason};
 }
 
-batch::AgentInput makeAnswer(const batch::PollCall &, OrderAnswer, const std::string &, bool connectionRefused)
+batch::AgentInput makeAnswer(const batch::PollCall &call, OrderAnswer, const std::string &reason, bool connectionRefused)
 {
-    return batch::PollFailed{connectionRefused};
+    return batch::PollFailed{connectionRefused, reason == fencedReason, call.fencingToken_, call.acknowledged_};
 }
 
 template<class Call>
@@ -47,7 +48,7 @@
     case OrderResult::Accepted:
         return "";
     case OrderResult::Fenced:
-        return "fence";
+        return fencedReason;
     case OrderResult::StaleRun:
         return "old";
     case OrderResult::LeaseExpired:
@@ -210,7 +211,9 @@
                               if (host.executor_->poll(poll, now_)) {
                                   waitForEnd(sent, host.executor_->info().incarnation_, now_ + poll.wait_);
                               } else {
-                                  answer(sent, batch::PollFailed{false});
+                                  const bool isOther = poll.incarnation_.executor_ != host.executor_->info().incarnation_.executor_;
+                                  answer(sent,
+                                         makeAnswer(sent.call_, OrderAnswer::Refused, reasonOf(isOther ? OrderResult::OtherExecutor : OrderResult::Fenced)));
                               }
                           },
                           [&](const auto &order) {
@@ -227,7 +230,7 @@
         if (host.executorDown_ && host.silent_) {
             leaveUnanswered(sent);
         } else {
-            deliver(sent, now_ + netLatency, batch::PollFailed{false});
+            deliver(sent, now_ + netLatency, makeAnswer(sent.call_, OrderAnswer::Unknown, "reset"));
         }
         return;
     }
--- a/tests/batch/executor_stand_in.cpp
+++ b/tests/batch/executor_stand_in.cpp
@@ -163,6 +163,7 @@
     answer.sentAt_ = now;
     answer.wait_ = call.wait_;
     answer.fencingToken_ = call.fencingToken_;
+    answer.acknowledged_ = call.acknowledged_;
     answer.startTimeMs_ = info_.incarnation_.startTimeMs_;
     answer.clock_ = clock(now);
     answer.ended_ = ended_;
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -135,6 +135,12 @@
         return found;
     }
 
+    /// Returns the number up to which the last directive to \p executor acknowledges ends.
+    [[nodiscard]] std::int64_t acknowledgedTo(std::size_t executor) const
+    {
+        return acknowledged_.at(reports_.at(executor).agent_);
+    }
+
     /// Returns the encoded size of the largest directive so far.
     [[nodiscard]] std::size_t largestDirective() const noexcept
     {
@@ -375,6 +381,7 @@
     void carryOut(const batch::SendDirective &sent)
     {
         largestDirective_ = std::max(largestDirective_, batch::encode(sent.directive_).size());
+        acknowledged_[sent.agent_] = sent.directive_.acknowledged_;
         if (largestDirective_ > batch::maxAgentFrameBytes) {
             return; // the agent closes the connection, and so it does with the next one
         }
@@ -422,6 +429,7 @@
     std::vector<batch::LogEvent> logEvents_;
     std::vector<std::set<std::string>> rejectedCommits_;
     std::size_t largestDirective_ = 0;
+    std::map<std::string, std::int64_t> acknowledged_; ///< by agent, of its last directive
     std::int64_t revision_ = 10;
 };
 
--- a/tests/model/call_results.h
+++ b/tests/model/call_results.h
@@ -43,4 +43,10 @@
     return batch::StopAnswered{call.run_, toOrderAnswer(result), ""};
 }
 
+/// Precondition: \p result isn't CallResult::Ok.
+inline batch::AgentInput toAgentInput(const batch::PollCall &call, CallResult result)
+{
+    return batch::PollFailed{result == CallResult::ConnectionRefused, result == CallResult::Conflict, call.fencingToken_, call.acknowledged_};
+}
+
 }
--- a/tests/model/model_test.cpp
+++ b/tests/model/model_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(silent);
     CPPUNIT_TEST(rebirth);
     CPPUNIT_TEST(lateAcknowledgement);
+    CPPUNIT_TEST(powerLoss);
     CPPUNIT_TEST(halves);
     CPPUNIT_TEST(gang);
     CPPUNIT_TEST(crashing);
@@ -120,6 +121,11 @@
         check("late-acknowledgement");
     }
 
+    void powerLoss()
+    {
+        check("power-loss");
+    }
+
     void halves()
     {
         check("halves");
@@ -152,7 +158,8 @@
 
     void otherWorldsHaveNoFormerStarts()
     {
-        for (const char *name : {"two-executors", "preemption", "cancellation", "lasting", "rebirth", "late-acknowledgement", "gang", "crashing"}) {
+        for (const char *name :
+             {"two-executors", "preemption", "cancellation", "lasting", "rebirth", "late-acknowledgement", "power-loss", "gang", "crashing"}) {
             checkFormerOrders(name);
         }
     }
--- a/tests/model/options.h
+++ b/tests/model/options.h
@@ -72,6 +72,7 @@
     CrashSameIdQuiet, ///< as above; its first heartbeat is lost
     CrashSameIdLong, ///< back after 2 s
     CrashSameIdAgentRestarts,
+    CrashSameIdAgentRestartsLater, ///< the agent is back 4 s later: the host has lost power
     CrashOtherId,
     CrashOtherIdAgentRestarts,
     AgentRestarts,
@@ -94,6 +95,7 @@
                                        "crash, same id, first heartbeat lost",
                                        "crash, same id, back after 2 s",
                                        "crash, same id, agent restarts",
+                                       "crash, same id, agent restarts 4 s later",
                                        "crash, other id",
                                        "crash, other id, agent restarts",
                                        "agent restarts",
--- a/tests/model/world.h
+++ b/tests/model/world.h
@@ -174,7 +174,7 @@
     void startExecutor(std::size_t index, bool sameId, Duration firstHeartbeat);
     void endExecutor(std::size_t index);
     void crashExecutor(std::size_t index, Duration downtime, bool sameId, Duration firstHeartbeat);
-    void restartAgent(std::size_t index);
+    void restartAgent(std::size_t index, Duration downtime);
     void freezeAgent(std::size_t index, Duration length);
     void shrinkCapacity(std::size_t index, Duration length);
     void announceLeave(std::size_t index, const ExecutorId &executor);
--- a/tests/model/world_calls.cpp
+++ b/tests/model/world_calls.cpp
@@ -283,17 +283,19 @@
         }
     }
     if (isLate || fate == PollFate::NotCarriedOut || now_ < host.requestsLostUntil_) {
-        return finishPoll(index, poll, timeout, batch::PollFailed{false});
+        return finishPoll(index, poll, timeout, toAgentInput(poll.call_, CallResult::NoAnswer));
     }
     if (fate == PollFate::ConnectionRefused || !host.executor_) {
-        return finishPoll(index, poll, netLatency, batch::PollFailed{true});
+        return finishPoll(index, poll, netLatency, toAgentInput(poll.call_, CallResult::ConnectionRefused));
     }
-    auto result = now_ < host.unavailableUntil_ ? std::nullopt : carryOut(index, poll.call_);
+    const bool isUnavailable = now_ < host.unavailableUntil_;
+    auto result = isUnavailable ? std::nullopt : carryOut(index, poll.call_);
     if (fate == PollFate::AnswerLost || now_ < host.answersLostUntil_) {
-        return finishPoll(index, poll, timeout, batch::PollFailed{false});
+        return finishPoll(index, poll, timeout, toAgentInput(poll.call_, CallResult::NoAnswer));
     }
     if (!result) {
-        return finishPoll(index, poll, netLatency, batch::PollFailed{false});
+        const bool isFenced = !isUnavailable && poll.call_.incarnation_.executor_ == host.incarnation_.executor_;
+        return finishPoll(index, poll, netLatency, toAgentInput(poll.call_, isFenced ? CallResult::Conflict : CallResult::Unavailable));
     }
     const std::uint64_t number = ++host.lastPollNumber_;
     if (poll.call_.wait_ > milliseconds(0) && result->ended_.empty()) {
@@ -317,10 +319,10 @@
     lists.leaseEnd_.reset();
     auto result = host.executor_->poll(lists, now_);
     if (now_ < host.answersLostUntil_) {
-        return finishPoll(index, waiting, orderTimeout, batch::PollFailed{false});
+        return finishPoll(index, waiting, orderTimeout, toAgentInput(waiting.call_, CallResult::NoAnswer));
     }
     if (!result) {
-        return finishPoll(index, waiting, netLatency, batch::PollFailed{false});
+        return finishPoll(index, waiting, netLatency, toAgentInput(waiting.call_, CallResult::Conflict));
     }
     result->sentAt_ = waiting.sentAt_;
     result->wait_ = waiting.call_.wait_;
@@ -330,7 +332,7 @@
 void World::breakWaitingPoll(std::size_t index)
 {
     if (const auto waiting = std::exchange(hosts_[index].waitingPoll_, std::nullopt)) {
-        finishPoll(index, waiting->poll_, netLatency, batch::PollFailed{false});
+        finishPoll(index, waiting->poll_, netLatency, toAgentInput(waiting->poll_.call_, CallResult::NoAnswer));
     }
 }
 
--- a/tests/model/world_hosts.cpp
+++ b/tests/model/world_hosts.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds oneWayCutLength{6'000};
 constexpr milliseconds unavailableLength{1'000};
 constexpr milliseconds agentDowntime{200};
+constexpr milliseconds longAgentDowntime{4'000};
 constexpr milliseconds longAgentFreeze{9'000};
 constexpr milliseconds crashAfterStart{10};
 
@@ -100,18 +101,21 @@
     expectActivityUntil(now_ + downtime + firstHeartbeat);
 }
 
-void World::restartAgent(std::size_t index)
+/// Restarts the agent, which hears nothing for \p downtime.
+void World::restartAgent(std::size_t index, Duration downtime)
 {
     Host &host = hosts_[index];
     trace(host.name_, "agent restarts");
     ++host.agentLife_;
-    host.agentFrozenUntil_ = Instant();
+    host.agentFrozenUntil_ = now_ + downtime;
     host.heldInputs_.clear();
     host.waitingPoll_.reset();
     host.leader_.reset();
     host.agent_ = std::make_unique<batch::AgentCore>(host.name_, stopDuration);
-    schedule(now_ + agentDowntime, [this, index, life = host.agentLife_] {
+    expectActivityUntil(host.agentFrozenUntil_);
+    schedule(host.agentFrozenUntil_, [this, index, life = host.agentLife_] {
         if (hosts_[index].agentLife_ == life) {
+            hosts_[index].heldInputs_.clear();
             connectAgent(index);
             pollLoop(index, life);
         }
@@ -182,14 +186,17 @@
         return crashExecutor(index, longDowntime, true, netLatency);
     case HostFault::CrashSameIdAgentRestarts:
         crashExecutor(index, shortDowntime, true, netLatency);
-        return restartAgent(index);
+        return restartAgent(index, agentDowntime);
+    case HostFault::CrashSameIdAgentRestartsLater:
+        crashExecutor(index, shortDowntime, true, netLatency);
+        return restartAgent(index, longAgentDowntime);
     case HostFault::CrashOtherId:
         return crashExecutor(index, shortDowntime, false, netLatency);
     case HostFault::CrashOtherIdAgentRestarts:
         crashExecutor(index, shortDowntime, false, netLatency);
-        return restartAgent(index);
+        return restartAgent(index, agentDowntime);
     case HostFault::AgentRestarts:
-        return restartAgent(index);
+        return restartAgent(index, agentDowntime);
     case HostFault::AgentFreezes:
         return freezeAgent(index, agentFreeze);
     case HostFault::AgentFreezesLong:
@@ -237,7 +244,7 @@
     if (host.executorLife_ != executorLife) {
         return;
     }
-    const batch::HeartbeatReceived heartbeat{host.executor_->info(), ++host.heartbeatSequence_};
+    const batch::HeartbeatReceived heartbeat{host.executor_->info(), ++host.heartbeatSequence_, host.executor_->clock(now_)};
     if (now_ >= host.answersLostUntil_) {
         stepAgent(index, {heartbeat});
     }
