A job whose cancel was answered 410 isn't stored any more

Cause: a cancel left nothing behind for a job that wasn't stored. The entry went on storing the job by way of another one, and a write without an answer may be carried out later.

Change: the cancel is stored before it is answered 410, on the condition that the job is not; a submission is stored on the condition that its cancel is not, and is otherwise answered 410. The store decides, in whichever order the writes are carried out. The leader removes cancellations of jobs that aren't stored after ten minutes.

Ruled out: a key with a lease (it may end in an outage that the late write outlasts); giving the hand-in up once the caller has left (the late write remains).

--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -68,6 +68,9 @@
     return parts;
 }
 
+/// How long the cancellation of a job that isn't stored is kept. A write of its submission may still be carried out, also long after an outage of the store.
+constexpr std::chrono::minutes unstoredCancellationRetention{10};
+
 /// Additional time for which a job's records are kept after callers can no longer query them.
 constexpr milliseconds removalSlack{5'000};
 
@@ -100,6 +103,7 @@
     relocateStuckRuns(cluster_);
     placeWaiting(cluster_);
     markExpiredJobs();
+    removeExpiredCancellations();
     refreshStartRecords(cluster_);
     std::vector<LeaderOutput> outputs;
     commit(outputs);
@@ -179,7 +183,7 @@
             {{"job", id.str()}, {"reason", toString(excess->kind_)}, {"found", std::to_string(excess->found_)}, {"limit", std::to_string(excess->limit_)}});
     }
     Job &stored = cluster_.jobs_.emplace(id, std::move(job)).first->second;
-    if (cancelled_.erase(id) > 0) {
+    if (unstoredCancellations_.erase(id) > 0) {
         finishJob(cluster_, stored, JobState::Cancelled, "cancelled");
     }
 }
@@ -249,7 +253,7 @@
 {
     const auto found = cluster_.jobs_.find(input.job_);
     if (found == cluster_.jobs_.end()) {
-        cancelled_.insert(input.job_);
+        unstoredCancellations_.try_emplace(input.job_, cluster_.now_);
         return;
     }
     finishJob(cluster_, found->second, JobState::Cancelled, "cancelled");
@@ -450,6 +454,18 @@
     }
 }
 
+void Leader::removeExpiredCancellations()
+{
+    std::erase_if(unstoredCancellations_, [this](const auto &entry) {
+        const auto &[id, since] = entry;
+        const bool isExpired = cluster_.now_ - since > unstoredCancellationRetention;
+        if (isExpired) {
+            orphans_.insert(id);
+        }
+        return isExpired;
+    });
+}
+
 std::set<JobId> Leader::jobsInFlight() const
 {
     std::set<JobId> jobs;
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -184,6 +184,7 @@
     void startCommittedRuns();
     void acknowledgeEnds();
     void markExpiredJobs();
+    void removeExpiredCancellations();
     void forget(const JobId &id);
     void recordRejection(const JobId &id, std::uint64_t version);
     void commit(std::vector<LeaderOutput> &outputs);
@@ -205,8 +206,8 @@
     };
 
     ClusterState cluster_;
-    std::set<JobId> cancelled_; ///< cancellations received before their job
-    std::set<JobId> orphans_; ///< jobs with records to delete: a release that doesn't know these kinds of records has removed the job
+    std::map<JobId, Instant> unstoredCancellations_; ///< jobs that were cancelled before they were stored, and when this leader heard of it
+    std::set<JobId> orphans_; ///< jobs that aren't stored, or were removed by a release that doesn't know all kinds of records, and have records to delete
     std::set<JobId> writtenAlone_; ///< jobs of a rejected commit: until it is stored, each is written by itself, so that the cause holds up no other
     std::vector<InFlightCommit> inFlight_; ///< at most maxCommitsInFlight; no two write the same job
     std::uint64_t lastCommit_ = 0;
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -7,6 +7,7 @@
 #include "job_codec.h"
 #include "keys.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace bergamotwick::node {
@@ -69,6 +70,13 @@
         []() -> std::optional<Answer> { return answerWithStatus(platform::statusBadRequest); });
 }
 
+/// Returns whether \p result of storing a job under \p jobKey shows that the job was cancelled before it was stored.
+bool isCancelledBefore(const platform::TransactionResult &result, const std::string &jobKey)
+{
+    const auto isStored = [&jobKey](const platform::Item &item) { return item.key_ == jobKey && item.revision_ != 0; };
+    return !result.applied_ && std::none_of(result.current_.begin(), result.current_.end(), isStored);
+}
+
 /// Returns the answer to a submission of which a record may become larger, even folded, than \p maxRecordBytes.
 std::optional<Answer> refuseExcess(const batch::Submission &submission, std::size_t maxRecordBytes)
 {
@@ -232,7 +240,7 @@
     }
     platform::Transaction transaction;
     const std::string key = keys::jobs + request.id_;
-    transaction.expected_ = {{key, 0}};
+    transaction.expected_ = {{key, 0}, {keys::cancels + request.id_, 0}};
     const std::string record = batch::isFolded(submission, maxRecordBytes_) ? batch::encodeLong(submission) : batch::encode(submission);
     transaction.puts_ = {{key, record, 0}};
     bool mayBeStored = false;
@@ -240,6 +248,10 @@
         const int status = leaf::try_handle_all(
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(result, store_.apply(transaction, request.timeout()));
+                if (isCancelledBefore(result, key)) {
+                    logEvent(LogLevel::Info, "job-not-stored", {{"job", request.id_}, {"reason", "cancelled"}, {"took_ms", request.elapsed().count()}});
+                    return platform::statusGone;
+                }
                 logEvent(LogLevel::Info,
                          "job-stored",
                          {{"job", request.id_},
@@ -278,15 +290,15 @@
         const int status = leaf::try_handle_all(
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(found, store_.get(job, request.timeout()));
-                if (!found) {
-                    return platform::statusGone;
-                }
                 platform::Transaction transaction;
-                transaction.expected_ = {{job, found->revision_}};
+                transaction.expected_ = {{job, found ? found->revision_ : 0}};
                 transaction.puts_ = {{keys::cancels + request.id_, "", 0}};
                 BOOST_LEAF_AUTO(result, store_.apply(transaction, request.timeout()));
-                logEvent(LogLevel::Info, "cancel-stored", {{"job", request.id_}, {"applied", result.applied_}});
-                return result.applied_ ? platform::statusOk : 0;
+                logEvent(LogLevel::Info, "cancel-stored", {{"job", request.id_}, {"applied", result.applied_}, {"job_stored", found.has_value()}});
+                if (!result.applied_) {
+                    return 0;
+                }
+                return found ? platform::statusOk : platform::statusGone;
             },
             [&](const StoreError &error) {
                 logEvent(LogLevel::Warning, "cancel-not-stored", {{"job", request.id_}, {"error", toString(error.code_)}});
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -59,6 +59,8 @@
     [[nodiscard]] platform::Answer serve(const platform::Call &call);
     [[nodiscard]] std::optional<platform::Answer> probeStore(const Request &request);
     [[nodiscard]] platform::Answer submit(const Request &request, const platform::Call &call);
+
+    /// Stores the cancellation, also of a job that isn't there: a write of its submission may be on its way, and must not take effect any more.
     [[nodiscard]] platform::Answer cancel(const Request &request, const platform::Call &call);
     [[nodiscard]] platform::Answer readState(const Request &request, const platform::Call &call);
 
--- a/tests/process/job_service_test.cpp
+++ b/tests/process/job_service_test.cpp
@@ -64,6 +64,9 @@
     CPPUNIT_TEST(stateIsReadThroughAnotherEntry);
     CPPUNIT_TEST(cancelIsStoredThroughAnotherEntry);
     CPPUNIT_TEST(missingJobIsReportedThroughAnotherEntry);
+    CPPUNIT_TEST(cancelledJobIsNotStoredAfterwards);
+    CPPUNIT_TEST(cancelledJobIsNotStoredByALateWrite);
+    CPPUNIT_TEST(storedJobIsAcceptedAgainAfterItsCancel);
     CPPUNIT_TEST(submissionThatAnotherEntryMayStoreIsNotRefused);
     CPPUNIT_TEST(submissionThatNoOtherEntryGotIsRefused);
     CPPUNIT_TEST(submissionThatCanNotBeKeptIsRefusedWithItsReason);
@@ -109,6 +112,42 @@
         requireOneStoreCallPerForwardedCall(entries);
     }
 
+    /// A job ran after its cancel was answered 410: an entry still stored it, though its caller had left.
+    void cancelledJobIsNotStoredAfterwards()
+    {
+        const Pair entries(*this);
+        CPPUNIT_ASSERT_EQUAL(platform::statusGone, entries.served_->service_.answer(call(platform::CallMethod::Cancel)).status_);
+        CPPUNIT_ASSERT_EQUAL(platform::statusGone, entries.served_->service_.answer(submission()).status_);
+        CPPUNIT_ASSERT_EQUAL(platform::statusGone, entries.cut_->service_.answer(submission()).status_);
+        CPPUNIT_ASSERT(store_.values(node::keys::jobs).empty());
+    }
+
+    /// As above, by a write that is carried out late. If it is carried out before the cancel, the cancel finds the job.
+    void cancelledJobIsNotStoredByALateWrite()
+    {
+        Entry entry("served", store_, store_, [] { return node::Members(); });
+        soak::StoreFaults late;
+        late.delayedWriteRate_ = 1;
+        store_.setFaults(late);
+        platform::Call shortCall = submission();
+        shortCall.timeout_ = std::chrono::milliseconds(300);
+        CPPUNIT_ASSERT_EQUAL(platform::statusTimeout, entry.service_.answer(shortCall).status_);
+        store_.setFaults({});
+        const int status = entry.service_.answer(call(platform::CallMethod::Cancel)).status_;
+        CPPUNIT_ASSERT(status == platform::statusGone || status == platform::statusOk);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'500)); // the late write has been carried out, or has failed
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.values(node::keys::cancels).size());
+        CPPUNIT_ASSERT_EQUAL(status == platform::statusGone, store_.values(node::keys::jobs).empty());
+    }
+
+    void storedJobIsAcceptedAgainAfterItsCancel()
+    {
+        Entry entry("served", store_, store_, [] { return node::Members(); });
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entry.service_.answer(submission()).status_);
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entry.service_.answer(call(platform::CallMethod::Cancel)).status_);
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entry.service_.answer(submission()).status_);
+    }
+
     void submissionThatAnotherEntryMayStoreIsNotRefused()
     {
         const Socket frozenEntry = value(listenTcp(*Address::parse("127.0.0.1:0"))); // its connections are never served
@@ -174,9 +213,7 @@
             members.entries_ = {{"other", agentAddress}};
             return members;
         });
-        platform::Call submission = call(platform::CallMethod::Submit);
-        submission.body_ = R"({"spec":"text","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":900}]})";
-        return entry.service_.answer(submission);
+        return entry.service_.answer(submission());
     }
 
     /// An entry that the store turns away, and one that it serves.
@@ -227,6 +264,13 @@
         return call;
     }
 
+    static platform::Call submission()
+    {
+        platform::Call submission = call(platform::CallMethod::Submit);
+        submission.body_ = R"({"spec":"text","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":900}]})";
+        return submission;
+    }
+
     soak::StoreStandIn store_{1};
     soak::StoreStandIn awayStore_{2};
 };
--- a/tests/unit/batch_commit_test.cpp
+++ b/tests/unit/batch_commit_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(noJobIsInTwoCommits);
     CPPUNIT_TEST(commitsInFlightAreBounded);
     CPPUNIT_TEST(failedCommitIsRepeatedBesideOthers);
+    CPPUNIT_TEST(cancellationOfAJobThatIsNotStoredIsRemovedAtLast);
+    CPPUNIT_TEST(jobThatIsStoredAfterItsCancellationIsNotStarted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +74,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.pendingCommits().size());
         CPPUNIT_ASSERT(bench.pendingCommits().back().writes_.at(0).job_ == JobId("first"));
     }
+
+    void cancellationOfAJobThatIsNotStoredIsRemovedAtLast()
+    {
+        LeaderBench bench(1);
+        bench.storeIsSlow_ = true;
+        bench.step({batch::CancelStored{JobId("unknown")}});
+        bench.advanceTime(9min);
+        CPPUNIT_ASSERT(bench.pendingCommits().empty());
+        bench.advanceTime(2min);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.pendingCommits().size());
+        CPPUNIT_ASSERT(bench.pendingCommits()[0].writes_.at(0).job_ == JobId("unknown"));
+        CPPUNIT_ASSERT(bench.pendingCommits()[0].writes_.at(0).remove_);
+    }
+
+    /// A release that doesn't look for a cancellation may store it.
+    void jobThatIsStoredAfterItsCancellationIsNotStarted()
+    {
+        LeaderBench bench(1);
+        bench.step({batch::CancelStored{JobId("job")}});
+        CPPUNIT_ASSERT(bench.submitAndStart(makeJob("job", 1, oneAccelerator, 10s)).empty());
+        CPPUNIT_ASSERT(bench.cluster().jobs_.at(JobId("job")).progress_.state_ == batch::JobState::Cancelled);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchCommitTest);
