A job keeps the settings with which it was accepted when its queue is removed

Cause: attempts, priority, objective and placement policy came from the configuration alone. A leader that had never seen the queue kept the defaults of the type: one attempt, and the highest priority, without the queue's policy.

Change: an entry stores the queue's settings with the job in one transaction (b/in/settings/ID); a leader stores those of a job that the release before has accepted with the job's first record. They apply whenever the queue isn't in force, under every leader alike.

Ruled out: a record for each queue ever configured (its removal would have to be fenced against submissions); a field in the job's record (strict decoders).

--- a/src/core/batch/advising.cpp
+++ b/src/core/batch/advising.cpp
@@ -24,7 +24,7 @@
 
 void filterByAdvice(ClusterState &cluster, const WaitingGroup &group, std::vector<Executor *> &executors)
 {
-    if (!group.job_->placementPolicy_) {
+    if (!group.job_->settings_.placementPolicy_) {
         return;
     }
     const StepId step = stepIdOf(group);
--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -140,12 +140,10 @@
     std::optional<std::uint64_t> rejectedVersion_; ///< version that the store has rejected, until a later one is stored; nothing is placed meanwhile
     Instant mayPlaceFrom_{}; ///< not before, as the record that a rejection followed would only grow as large again
     Instant acceptedAt_{};
-    std::int32_t priority_ = 0;
+    std::optional<QueueSettings> acceptedWith_; ///< unset if a release that stores none accepted it and its queue hasn't been in force since
+    bool areSettingsStored_ = false; ///< the store holds acceptedWith_
+    QueueSettings settings_; ///< those of its queue if that is in force, else those with which it was accepted
     bool guaranteed_ = false; ///< its work fits its workspace's guarantee; set by updateGuarantees()
-    std::int32_t maxAttempts_ = 1;
-    double stretch_ = 1.0;
-    milliseconds targetLatency_{0};
-    std::optional<PlacementPolicy> placementPolicy_; ///< policy of its queue; if set, it must allow an executor before a step runs there
     std::map<std::size_t, std::set<ExecutorId>> excludedExecutors_; ///< by task index: executors on which it failed, was refused, stalled or straggled
     std::map<std::size_t, Reservation> reservations_; ///< by first task of the group
     std::uint32_t stragglerMoves_ = 0; ///< how many stragglers have been stopped to run elsewhere
--- a/src/core/batch/cluster_config.h
+++ b/src/core/batch/cluster_config.h
@@ -1,36 +1,21 @@
 #pragma once
 
 #include "bergamotwick/ids.h"
-#include "core/batch/time.h"
+#include "core/batch/queue_settings.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace bergamotwick::batch {
 
-/// Timing of a queue's external placement policy: its decision time, the time that it adds for each executor and the validity of answers.
-struct PlacementPolicy
-{
-    milliseconds decisionTime_{0};
-    milliseconds timePerExecutor_{0};
-    milliseconds validFor_{0};
-};
-
 /// A queue of jobs, chosen by host and path prefix of a call.
-struct Queue
+struct Queue : QueueSettings
 {
     std::string name_;
     std::string host_;
     std::string prefix_;
-    ServiceId service_;
-    std::int32_t priority_ = 0; ///< 0 is the most urgent
-    std::int32_t maxAttempts_ = 1;
-    double stretch_ = 1.0; ///< objective for a job's completion, as a multiple of its critical path
-    milliseconds targetLatency_{0}; ///< added to the objective
     bool public_ = false; ///< requires no API key
-    std::optional<PlacementPolicy> placementPolicy_;
 
     /// Returns the identifier of the queue, which is the same in all configuration versions.
     [[nodiscard]] std::string key() const
--- a/src/core/batch/codec.cpp
+++ b/src/core/batch/codec.cpp
@@ -57,6 +57,11 @@
     return encodeAs<PayloadKind::StartRecord>(value);
 }
 
+std::string encode(const AcceptedSettings &value)
+{
+    return encodeAs<PayloadKind::AcceptedSettings>(value);
+}
+
 std::string encode(const Report &value)
 {
     return encodeAs<PayloadKind::Report>(value);
@@ -92,6 +97,11 @@
     return decodeAs<PayloadKind::StartRecord, StartRecord>(bytes);
 }
 
+Result<AcceptedSettings> decodeAcceptedSettings(std::string_view bytes)
+{
+    return decodeAs<PayloadKind::AcceptedSettings, AcceptedSettings>(bytes);
+}
+
 Result<Report> decodeReport(std::string_view bytes)
 {
     BOOST_LEAF_AUTO(report, (decodeAs<PayloadKind::Report, Report>(bytes)));
--- a/src/core/batch/codec.h
+++ b/src/core/batch/codec.h
@@ -5,6 +5,7 @@
 #include "core/batch/folded_record.h"
 #include "core/batch/job.h"
 #include "core/batch/messages.h"
+#include "core/batch/queue_settings.h"
 #include "core/batch/start_record.h"
 
 #include <string>
@@ -18,6 +19,7 @@
 [[nodiscard]] std::string encode(const FoldedProgress &value);
 [[nodiscard]] std::string encode(const CrashHistory &value);
 [[nodiscard]] std::string encode(const StartRecord &value);
+[[nodiscard]] std::string encode(const AcceptedSettings &value);
 [[nodiscard]] std::string encode(const Report &value);
 [[nodiscard]] std::string encode(const Directive &value);
 
@@ -30,6 +32,7 @@
 [[nodiscard]] Result<Progress> decodeProgress(std::string_view bytes);
 [[nodiscard]] Result<CrashHistory> decodeCrashHistory(std::string_view bytes);
 [[nodiscard]] Result<StartRecord> decodeStartRecord(std::string_view bytes);
+[[nodiscard]] Result<AcceptedSettings> decodeAcceptedSettings(std::string_view bytes);
 [[nodiscard]] Result<Report> decodeReport(std::string_view bytes);
 [[nodiscard]] Result<Directive> decodeDirective(std::string_view bytes);
 
--- a/src/core/batch/framing.h
+++ b/src/core/batch/framing.h
@@ -26,6 +26,7 @@
     LongSubmission, ///< of a job whose progress is folded
     FoldedProgress,
     StartRecord,
+    AcceptedSettings,
 };
 
 /// All types of payloads. Releases that run side by side read each other's, so each has a sample in tests/support/formats.cpp.
@@ -38,7 +39,8 @@
                                   PayloadKind::CrashHistory,
                                   PayloadKind::LongSubmission,
                                   PayloadKind::FoldedProgress,
-                                  PayloadKind::StartRecord};
+                                  PayloadKind::StartRecord,
+                                  PayloadKind::AcceptedSettings};
 
 [[nodiscard]] constexpr bool isListed(PayloadKind kind) noexcept
 {
--- a/src/core/batch/guarantees.cpp
+++ b/src/core/batch/guarantees.cpp
@@ -42,7 +42,7 @@
     std::map<WorkspaceId, std::vector<Job *>> urgent;
     for (auto &[id, job] : cluster.jobs_) {
         job.guaranteed_ = false;
-        if (job.priority_ == 0 && !isFinal(job.progress_.state_)) {
+        if (job.settings_.priority_ == 0 && !isFinal(job.progress_.state_)) {
             urgent[job.submission_.workspace_].push_back(&job);
         }
     }
--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -76,7 +76,7 @@
     if (waited > maxWaitForUnsuspected) {
         return true;
     }
-    const bool isLastAttempt = failures + 1 >= static_cast<std::size_t>(job.maxAttempts_);
+    const bool isLastAttempt = failures + 1 >= static_cast<std::size_t>(job.settings_.maxAttempts_);
     return isLastAttempt && waited <= maxWaitForProven ? isProven(cluster, executor) : !isSuspect(cluster, executor);
 }
 
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -18,16 +18,6 @@
 
 namespace {
 
-/// Maximum number of jobs written in one commit. A transaction holds up to 32 operations: one checks the leader's key, and a job that is
-/// removed needs one check and five removals.
-constexpr std::size_t maxWritesPerCommit = 5;
-
-/// Delay before the next commit after a failed one for which no revisions were returned, for example because the store did not answer.
-constexpr milliseconds commitRetryDelay{150};
-
-/// Time after a rejection in which nothing more of the job is placed.
-constexpr milliseconds placementPauseAfterRejection{10'000};
-
 /// Size of the orders in a directive after which the others go into a further one. Leaves room for a directive's other fields.
 constexpr std::size_t maxOrderBytesPerDirective = maxAgentFrameBytes / 4;
 
@@ -68,12 +58,6 @@
     return parts;
 }
 
-/// How long the cancellation of a job that isn't stored is kept. A write of its submission may still be carried out, also long after an outage of the store.
-constexpr std::chrono::minutes unstoredCancellationRetention{10};
-
-/// Additional time for which a job's records are kept after callers can no longer query them.
-constexpr milliseconds removalSlack{5'000};
-
 }
 
 std::string encodeProgress(const ProgressWrite &write)
@@ -103,7 +87,7 @@
     relocateStuckRuns(cluster_);
     placeWaiting(cluster_);
     markExpiredJobs();
-    removeExpiredCancellations();
+    removeRecordsOfUnstoredJobs();
     refreshStartRecords(cluster_);
     std::vector<LeaderOutput> outputs;
     commit(outputs);
@@ -155,12 +139,15 @@
     const auto age = std::clamp(cluster_.calendar_ - input.submission_.acceptedAt_, milliseconds(0), milliseconds(std::chrono::minutes(10)));
     job.acceptedAt_ = cluster_.now_ - age;
     job.submission_ = std::move(input.submission_);
+    const UnstoredJob former = takeUnstored(id);
+    job.acceptedWith_ = former.acceptedWith_;
+    job.areSettingsStored_ = former.acceptedWith_.has_value();
     refreshFromConfig(job);
     const Step &first = job.submission_.steps_.front();
     cluster_.logEvent("job-known",
                       {{"job", id.str()},
                        {"workspace", job.submission_.workspace_.str()},
-                       {"priority", std::to_string(job.priority_)},
+                       {"priority", std::to_string(job.settings_.priority_)},
                        {"steps", std::to_string(job.submission_.steps_.size())},
                        {"tasks", std::to_string(tasks)},
                        {"cpu", std::to_string(first.taskDemand_.cpuMilli_)},
@@ -173,8 +160,8 @@
                        {"constraint", first.constraint_},
                        {"affinity", first.affinity_},
                        {"estimate_ms", std::to_string(first.estimate_.count())},
-                       {"stretch", std::to_string(job.stretch_)},
-                       {"target_ms", std::to_string(job.targetLatency_.count())},
+                       {"stretch", std::to_string(job.settings_.stretch_)},
+                       {"target_ms", std::to_string(job.settings_.targetLatency_.count())},
                        {"age_ms", std::to_string(age.count())}});
     job.isFolded_ = isFolded(job.submission_, cluster_.limits_.maxRecordBytes_);
     if (const auto excess = foldedRecordExcess(job.submission_, cluster_.limits_.maxRecordBytes_)) {
@@ -183,7 +170,7 @@
             {{"job", id.str()}, {"reason", toString(excess->kind_)}, {"found", std::to_string(excess->found_)}, {"limit", std::to_string(excess->limit_)}});
     }
     Job &stored = cluster_.jobs_.emplace(id, std::move(job)).first->second;
-    if (unstoredCancellations_.erase(id) > 0) {
+    if (former.isCancelled_) {
         finishJob(cluster_, stored, JobState::Cancelled, "cancelled");
     }
 }
@@ -249,11 +236,32 @@
     }
 }
 
+void Leader::handle(const SettingsStored &input)
+{
+    const auto found = cluster_.jobs_.find(input.record_.id_);
+    if (found == cluster_.jobs_.end()) {
+        unstoredJobs_.try_emplace(input.record_.id_, UnstoredJob{cluster_.now_}).first->second.acceptedWith_ = input.record_.settings_;
+        return;
+    }
+    found->second.acceptedWith_ = input.record_.settings_;
+    found->second.areSettingsStored_ = true;
+    refreshFromConfig(found->second);
+}
+
+Leader::UnstoredJob Leader::takeUnstored(const JobId &id)
+{
+    const auto found = unstoredJobs_.find(id);
+    if (found == unstoredJobs_.end()) {
+        return {};
+    }
+    return unstoredJobs_.extract(found).mapped();
+}
+
 void Leader::handle(const CancelStored &input)
 {
     const auto found = cluster_.jobs_.find(input.job_);
     if (found == cluster_.jobs_.end()) {
-        unstoredCancellations_.try_emplace(input.job_, cluster_.now_);
+        unstoredJobs_.try_emplace(input.job_, UnstoredJob{cluster_.now_}).first->second.isCancelled_ = true;
         return;
     }
     finishJob(cluster_, found->second, JobState::Cancelled, "cancelled");
@@ -293,28 +301,6 @@
     applyAdvice(cluster_, input.step_, input.asked_, input.tickets_, input.validFor_);
 }
 
-void Leader::handle(const CommitDone &input)
-{
-    const auto commit = std::find_if(inFlight_.begin(), inFlight_.end(), [&input](const auto &candidate) { return candidate.commit_ == input.commit_; });
-    if (commit == inFlight_.end()) {
-        return;
-    }
-    for (const auto &[id, version] : commit->versions_) {
-        const auto job = cluster_.jobs_.find(id);
-        if (job != cluster_.jobs_.end()) {
-            job->second.storedVersion_ = version;
-            job->second.rejectedVersion_.reset();
-            job->second.revision_ = input.revision_;
-        }
-        writtenAlone_.erase(id);
-    }
-    for (const JobId &id : commit->removals_) {
-        forget(id);
-    }
-    inFlight_.erase(commit);
-    startCommittedRuns();
-}
-
 void Leader::forget(const JobId &id)
 {
     cluster_.jobs_.erase(id);
@@ -323,82 +309,16 @@
     writtenAlone_.erase(id);
 }
 
-void Leader::handle(const CommitRejected &input)
-{
-    const auto found = std::find_if(inFlight_.begin(), inFlight_.end(), [&input](const auto &candidate) { return candidate.commit_ == input.commit_; });
-    if (found == inFlight_.end()) {
-        return;
-    }
-    const InFlightCommit commit = std::move(*found);
-    inFlight_.erase(found);
-    if (commit.versions_.size() + commit.removals_.size() > 1) {
-        cluster_.logEvent("commit-split", {{"commit", std::to_string(commit.commit_)}});
-        for (const auto &[id, version] : commit.versions_) {
-            writtenAlone_.insert(id);
-        }
-        writtenAlone_.insert(commit.removals_.begin(), commit.removals_.end());
-        return;
-    }
-    for (const auto &[id, version] : commit.versions_) {
-        recordRejection(id, version);
-    }
-    for (const JobId &id : commit.removals_) {
-        cluster_.logEvent("removal-rejected", {{"job", id.str()}});
-        forget(id); // the next leader finds its records and tries again
-    }
-}
-
-void Leader::recordRejection(const JobId &id, std::uint64_t version)
-{
-    Job &job = cluster_.jobs_.at(id);
-    job.rejectedVersion_ = version;
-    job.mayPlaceFrom_ = cluster_.now_ + placementPauseAfterRejection;
-    cluster_.logEvent("record-rejected",
-                      {{"job", id.str()},
-                       {"workspace", job.submission_.workspace_.str()},
-                       {"tasks", std::to_string(job.progress_.tasks_.size())},
-                       {"bytes", std::to_string(encodeProgress({id, 0, recordOf(job.progress_), job.isFolded_, false, {}, {}}).size())},
-                       {"limit", std::to_string(cluster_.limits_.maxRecordBytes_)}});
-    std::vector<RunId> unstored;
-    for (auto run = cluster_.runs_.lower_bound(RunId{{id, 0, 0, 0}, 0}); run != cluster_.runs_.end() && run->first.task_.job_ == id; ++run) {
-        if (run->second.phase_ == RunPhase::Committing) {
-            unstored.push_back(run->first);
-        }
-    }
-    for (const RunId &run : unstored) {
-        stopRun(cluster_, run, "record-rejected"); // others may have what they occupy
-    }
-}
-
-void Leader::handle(const CommitFailed &input)
-{
-    if (std::erase_if(inFlight_, [&input](const auto &candidate) { return candidate.commit_ == input.commit_; }) == 0) {
-        return;
-    }
-    for (const auto &[id, revision] : input.foundRevisions_) {
-        const auto job = cluster_.jobs_.find(id);
-        if (job != cluster_.jobs_.end() && job->second.revision_ != revision) {
-            // An earlier write of this leader took effect although its answer was lost; the next write expects its revision.
-            cluster_.logEvent("record-found", {{"job", id.str()}, {"revision", std::to_string(revision)}});
-            job->second.revision_ = revision;
-        }
-    }
-    retryAt_ = input.foundRevisions_.empty() ? cluster_.now_ + commitRetryDelay : cluster_.now_;
-}
-
 void Leader::refreshFromConfig(Job &job) const
 {
-    const Queue *queue = cluster_.config_.queue(job.submission_.queue_);
-    if (queue == nullptr) {
-        return; // jobs of a removed queue keep its last settings
+    if (const Queue *queue = cluster_.config_.queue(job.submission_.queue_)) {
+        job.acceptedWith_ = job.acceptedWith_.value_or(*queue);
+        job.settings_ = *queue;
+    } else {
+        job.settings_ = job.acceptedWith_.value_or(settingsOfUnknownQueue());
     }
-    job.priority_ = queue->priority_;
-    job.maxAttempts_ = queue->maxAttempts_;
-    job.stretch_ = queue->stretch_;
-    job.targetLatency_ = queue->targetLatency_;
-    job.placementPolicy_ = queue->placementPolicy_;
-    if (!queue->service_.empty()) {
-        job.submission_.service_ = queue->service_;
+    if (!job.settings_.service_.empty()) {
+        job.submission_.service_ = job.settings_.service_;
     }
 }
 
@@ -445,92 +365,6 @@
     }
 }
 
-void Leader::markExpiredJobs()
-{
-    for (auto &[id, job] : cluster_.jobs_) {
-        const bool expired = isFinal(job.progress_.state_) && cluster_.calendar_ > job.progress_.endedAt_ + cluster_.limits_.statusRetention_ + removalSlack;
-        const auto &tasks = job.progress_.tasks_;
-        job.removing_ = expired && !job.needsWrite() && std::none_of(tasks.begin(), tasks.end(), [](const TaskProgress &task) { return task.assigned_; });
-    }
-}
-
-void Leader::removeExpiredCancellations()
-{
-    std::erase_if(unstoredCancellations_, [this](const auto &entry) {
-        const auto &[id, since] = entry;
-        const bool isExpired = cluster_.now_ - since > unstoredCancellationRetention;
-        if (isExpired) {
-            orphans_.insert(id);
-        }
-        return isExpired;
-    });
-}
-
-std::set<JobId> Leader::jobsInFlight() const
-{
-    std::set<JobId> jobs;
-    for (const InFlightCommit &commit : inFlight_) {
-        for (const auto &[id, version] : commit.versions_) {
-            jobs.insert(id);
-        }
-        jobs.insert(commit.removals_.begin(), commit.removals_.end());
-    }
-    return jobs;
-}
-
-std::vector<JobId> Leader::jobsToWrite() const
-{
-    const std::set<JobId> busy = jobsInFlight();
-    const auto isDue = [&busy](const JobId &id, const Job &job) { return (job.needsWrite() || job.removing_) && !busy.contains(id); };
-    for (const JobId &id : writtenAlone_) {
-        if (isDue(id, cluster_.jobs_.at(id))) {
-            return {id};
-        }
-    }
-    std::vector<JobId> jobs;
-    for (const auto &[id, job] : cluster_.jobs_) {
-        if (jobs.size() == maxWritesPerCommit) {
-            break;
-        }
-        if (isDue(id, job)) {
-            jobs.push_back(id);
-        }
-    }
-    return jobs;
-}
-
-void Leader::commit(std::vector<LeaderOutput> &outputs)
-{
-    if (inFlight_.size() == maxCommitsInFlight || cluster_.now_ < retryAt_) {
-        return;
-    }
-    Commit commit;
-    InFlightCommit inFlight;
-    while (!orphans_.empty() && commit.writes_.size() < maxWritesPerCommit) {
-        const JobId id = orphans_.extract(orphans_.begin()).value();
-        commit.writes_.push_back({id, 0, {}, false, true, CrashHistory{id, {}}, std::nullopt});
-    }
-    for (const JobId &id : commit.writes_.empty() ? jobsToWrite() : std::vector<JobId>()) {
-        Job &job = cluster_.jobs_.at(id);
-        if (job.removing_) {
-            inFlight.removals_.push_back(id);
-        } else {
-            inFlight.versions_.emplace_back(id, job.version_);
-        }
-        commit.writes_.push_back(
-            {id, job.revision_, recordOf(job.progress_), job.isFolded_, job.removing_, crashHistoryToStore(job), startRecordOf(cluster_, job)});
-        noteRecordedStarts(cluster_, job);
-        job.crashesStored_ = job.crashesStored_ || !job.crashes_.empty();
-    }
-    if (commit.writes_.empty()) {
-        return;
-    }
-    commit.commit_ = ++lastCommit_;
-    inFlight.commit_ = commit.commit_;
-    inFlight_.push_back(std::move(inFlight));
-    outputs.emplace_back(std::move(commit));
-}
-
 Directive Leader::directiveFor(const Agent &agent) const
 {
     Directive directive;
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -38,6 +38,12 @@
     std::vector<StoredStartRecord> records_;
 };
 
+/// The settings with which a job was accepted.
+struct SettingsStored
+{
+    AcceptedSettings record_;
+};
+
 struct CancelStored
 {
     JobId job_;
@@ -92,6 +98,7 @@
                                  ProgressStored,
                                  CrashHistoryStored,
                                  StartRecordsStored,
+                                 SettingsStored,
                                  CancelStored,
                                  ConfigChanged,
                                  EvacuationsChanged,
@@ -113,6 +120,7 @@
     bool remove_ = false; ///< delete all records of the job
     std::optional<CrashHistory> crashes_; ///< replaces the stored crash history, which is deleted if this one has no tasks; unset to keep it
     std::optional<StartRecord> starts_; ///< replaces the stored start record; unset to keep it
+    std::optional<QueueSettings> settings_; ///< settings with which the job was accepted; unset if they are stored, or unknown
 };
 
 /// Returns the bytes to store of the progress in \p write. Thread-safe on const objects.
@@ -166,10 +174,19 @@
     }
 
 private:
+    /// What is stored of a job without the job itself.
+    struct UnstoredJob
+    {
+        Instant heardOfAt_{};
+        bool isCancelled_ = false;
+        std::optional<QueueSettings> acceptedWith_;
+    };
+
     void handle(JobStored &&input);
     void handle(ProgressStored &&input);
     void handle(const CrashHistoryStored &input);
     void handle(const StartRecordsStored &input);
+    void handle(const SettingsStored &input);
     void handle(const CancelStored &input);
     void handle(ConfigChanged &&input);
     void handle(EvacuationsChanged &&input);
@@ -184,7 +201,8 @@
     void startCommittedRuns();
     void acknowledgeEnds();
     void markExpiredJobs();
-    void removeExpiredCancellations();
+    void removeRecordsOfUnstoredJobs();
+    [[nodiscard]] UnstoredJob takeUnstored(const JobId &id);
     void forget(const JobId &id);
     void recordRejection(const JobId &id, std::uint64_t version);
     void commit(std::vector<LeaderOutput> &outputs);
@@ -202,11 +220,12 @@
     {
         std::uint64_t commit_ = 0;
         std::vector<std::pair<JobId, std::uint64_t>> versions_;
+        std::vector<JobId> settings_; ///< jobs whose settings it stores
         std::vector<JobId> removals_;
     };
 
     ClusterState cluster_;
-    std::map<JobId, Instant> unstoredCancellations_; ///< jobs that were cancelled before they were stored, and when this leader heard of it
+    std::map<JobId, UnstoredJob> unstoredJobs_; ///< jobs that aren't stored, or not yet
     std::set<JobId> orphans_; ///< jobs that aren't stored, or were removed by a release that doesn't know all kinds of records, and have records to delete
     std::set<JobId> writtenAlone_; ///< jobs of a rejected commit: until it is stored, each is written by itself, so that the cause holds up no other
     std::vector<InFlightCommit> inFlight_; ///< at most maxCommitsInFlight; no two write the same job
--- a/src/core/batch/ledger.cpp
+++ b/src/core/batch/ledger.cpp
@@ -47,7 +47,7 @@
 void addRun(ClusterState &cluster, Run run)
 {
     const Job &job = cluster.jobs_.at(run.id_.task_.job_);
-    if (job.priority_ == 0) {
+    if (job.settings_.priority_ == 0) {
         run.urgentService_ = job.submission_.service_;
         recordUrgentUse(cluster, run.urgentService_, run.resources_.accelerators_);
     }
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -36,7 +36,7 @@
                                    free,
                                    antiAffinityHeadroom(*executor, group),
                                    isSuspect(cluster, *executor),
-                                   group.job_->priority_ == 0 && isSlowForUrgent(*executor),
+                                   group.job_->settings_.priority_ == 0 && isSlowForUrgent(*executor),
                                    isolates_ && isSettled(cluster, *executor),
                                    isolates_ ? recentCrashesOnHost(cluster, *executor) : 0});
         }
@@ -256,7 +256,7 @@
                       {"places", executorNames(placement)},
                       {"waited_ms", std::to_string(waited.count())},
                       {"report_age_ms", std::to_string(oldestReportAge(cluster, placement).count())},
-                      {"priority", std::to_string(job.priority_)}});
+                      {"priority", std::to_string(job.settings_.priority_)}});
 }
 
 /// Returns whether a suspected task of \p group still waits for an executor of its own.
@@ -283,7 +283,7 @@
                           {"step", std::to_string(group.group_.step_)},
                           {"missing", std::to_string(missing)},
                           {"executors", std::to_string(held)},
-                          {"priority", std::to_string(group.job_->priority_)}});
+                          {"priority", std::to_string(group.job_->settings_.priority_)}});
     }
 }
 
@@ -320,7 +320,7 @@
             continue;
         }
         group.job_->waitingSince_.try_emplace(group.group_.first_, cluster.now_);
-        if (group.job_->priority_ > 0) {
+        if (group.job_->settings_.priority_ > 0) {
             holds.holdUrgentReserve(group.job_->submission_.service_);
         }
         std::vector<Executor *> executors = findCandidates(cluster, group);
@@ -331,7 +331,7 @@
             assign(cluster, group, placement);
         } else if (waitsForIsolation(cluster, group)) {
             continue; // an executor of its own may be free soon; nothing is stopped or held for it
-        } else if (group.job_->priority_ == 0 && cluster.hasDiscoveredAgents()) {
+        } else if (group.job_->settings_.priority_ == 0 && cluster.hasDiscoveredAgents()) {
             preemptFor(cluster, group, executors);
         }
         const std::size_t missing = group.tasks_.size() - placement.size();
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -121,7 +121,7 @@
 /// only if it isn't guaranteed itself.
 bool mayStop(const WaitingGroup &group, const Job &job, const Step &step)
 {
-    const bool yields = job.priority_ > group.job_->priority_ || (group.guaranteed_ && !job.guaranteed_);
+    const bool yields = job.settings_.priority_ > group.job_->settings_.priority_ || (group.guaranteed_ && !job.guaranteed_);
     return yields && !step.longRunning_;
 }
 
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -58,10 +58,10 @@
 Urgency urgencyOf(const ClusterState &cluster, const Job &job, const Group &group)
 {
     const milliseconds criticalPath = remainingCriticalPath(cluster, job, 0);
-    const auto objective = std::chrono::duration_cast<Duration>(criticalPath * job.stretch_) + job.targetLatency_;
+    const auto objective = std::chrono::duration_cast<Duration>(criticalPath * job.settings_.stretch_) + job.settings_.targetLatency_;
     const milliseconds remaining = remainingCriticalPath(cluster, job, group.step_);
     Urgency urgency;
-    urgency.rank_ = job.guaranteed_ ? guaranteedRank : job.priority_;
+    urgency.rank_ = job.guaranteed_ ? guaranteedRank : job.settings_.priority_;
     urgency.latestStart_ = job.acceptedAt_ + objective - remaining;
     urgency.late_ = urgency.latestStart_ < cluster.now_;
     urgency.zeroValue_ = job.acceptedAt_ + zeroValueFactor * objective - remaining < cluster.now_;
--- a/src/core/batch/queueing.h
+++ b/src/core/batch/queueing.h
@@ -21,7 +21,7 @@
     /// Returns the group's rank in the use of executors that are held; guaranteed work comes before all priorities.
     [[nodiscard]] std::int32_t rank() const noexcept
     {
-        return guaranteed_ ? guaranteedRank : job_->priority_;
+        return guaranteed_ ? guaranteedRank : job_->settings_.priority_;
     }
 };
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -72,7 +72,7 @@
         failures.push_back(run.run_);
     }
     job.markChanged();
-    if (limitsAttempts && failedRuns.size() >= static_cast<std::size_t>(job.maxAttempts_)) {
+    if (limitsAttempts && failedRuns.size() >= static_cast<std::size_t>(job.settings_.maxAttempts_)) {
         finishJob(cluster, job, JobState::Failed, "attempts-used-up");
     }
 }
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -242,7 +242,8 @@
     const std::string key = keys::jobs + request.id_;
     transaction.expected_ = {{key, 0}, {keys::cancels + request.id_, 0}};
     const std::string record = batch::isFolded(submission, maxRecordBytes_) ? batch::encodeLong(submission) : batch::encode(submission);
-    transaction.puts_ = {{key, record, 0}};
+    const batch::AcceptedSettings settings{submission.id_, *request.queue_};
+    transaction.puts_ = {{key, record, 0}, {keys::settings + request.id_, batch::encode(settings), 0}};
     bool mayBeStored = false;
     do {
         const int status = leaf::try_handle_all(
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -61,7 +61,7 @@
         []() -> std::optional<Value> { return std::nullopt; });
 }
 
-/// Converts a job or cancellation to an input. Returns nothing for removed keys, other keys and jobs that can't be decoded.
+/// Converts a job, its settings or a cancellation to an input. Returns nothing for removed keys, other keys and jobs that can't be decoded.
 std::optional<batch::LeaderInput> decodeInput(const platform::Item &item)
 {
     if (item.removed_) {
@@ -70,6 +70,10 @@
     if (item.key_.starts_with(keys::cancels)) {
         return batch::CancelStored{JobId(jobIdFromKey(item.key_, keys::cancels))};
     }
+    if (item.key_.starts_with(keys::settings)) {
+        auto settings = decodeOrLog(item, &batch::decodeAcceptedSettings, "job-settings-unreadable");
+        return settings ? std::optional<batch::LeaderInput>(batch::SettingsStored{std::move(*settings)}) : std::nullopt;
+    }
     if (!item.key_.starts_with(keys::jobs)) {
         return std::nullopt;
     }
@@ -125,6 +129,7 @@
             BOOST_LEAF_AUTO(starts, owner_.store_.range(keys::starts, readTimeout));
             std::vector<batch::LeaderInput> inputs;
             addInputs(inputs, requests.items_, keys::jobs);
+            addInputs(inputs, requests.items_, keys::settings);
             for (const platform::Item &item : progress.items_) {
                 if (auto record = decodeOrLog(item, &batch::decodeProgress, "progress-unreadable")) {
                     inputs.emplace_back(batch::ProgressStored{std::move(*record), item.revision_});
@@ -320,8 +325,13 @@
             if (write.starts_) {
                 transaction.puts_.push_back({startsKey, batch::encode(*write.starts_), 0});
             }
+            const std::string settingsKey = keys::settings + write.job_.str();
+            if (write.settings_) {
+                transaction.puts_.push_back({settingsKey, batch::encode(batch::AcceptedSettings{write.job_, *write.settings_}), 0});
+            }
             if (write.remove_) {
-                transaction.removals_.insert(transaction.removals_.end(), {key, keys::jobs + write.job_.str(), keys::cancels + write.job_.str(), startsKey});
+                transaction.removals_.insert(transaction.removals_.end(),
+                                             {key, keys::jobs + write.job_.str(), keys::cancels + write.job_.str(), startsKey, settingsKey});
             } else {
                 transaction.puts_.push_back({key, batch::encodeProgress(write), 0});
             }
--- a/src/wire/archive.h
+++ b/src/wire/archive.h
@@ -2,6 +2,7 @@
 
 #include <cereal/cereal.hpp>
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -70,6 +70,14 @@
         step({batch::ConfigChanged{config_}});
     }
 
+    /// Removes the queue with \p priority from the configuration.
+    void removeQueue(std::int32_t priority)
+    {
+        std::erase_if(config_.queues_, [priority](const batch::Queue &queue) { return queue.priority_ == priority; });
+        ++config_.version_;
+        step({batch::ConfigChanged{config_}});
+    }
+
     /// Advances time by \p duration in steps of at most 100 ms. All executors that aren't silent report in each step.
     void advanceTime(Duration duration)
     {
@@ -265,6 +273,9 @@
             starts.records_.push_back({record, recordAge_});
         }
         records.emplace_back(std::move(starts));
+        for (const auto &[id, settings] : settings_) {
+            records.emplace_back(batch::SettingsStored{{id, settings}});
+        }
         replaceLeader(gap);
         step(std::move(records));
     }
@@ -374,6 +385,9 @@
             if (write.starts_ && knowsStartRecords_) {
                 startRecords_[write.job_] = *write.starts_;
             }
+            if (write.settings_ && storesSettings_) {
+                settings_[write.job_] = *write.settings_;
+            }
         }
     }
 
@@ -409,6 +423,7 @@
 public:
     std::size_t maxRecordBytes_ = batch::LeaderLimits().maxRecordBytes_; ///< the store rejects commits with larger records
     bool knowsStartRecords_ = true; ///< if false, the leader is of a release that writes no start records
+    bool storesSettings_ = true; ///< if false, the leader is of a release that doesn't store the settings with which jobs were accepted
     Duration recordAge_{}; ///< known age of the start records when a leader is replaced
     bool storeIsSlow_ = false; ///< commits are answered by answerCommit() only
     std::optional<std::uint32_t> delayedStopIndex_; ///< task index whose runs don't stop while it is set
@@ -422,6 +437,7 @@
     std::set<std::size_t> silent_;
     std::vector<batch::Report> reports_;
     std::map<JobId, batch::StartRecord> startRecords_; ///< stored
+    std::map<JobId, batch::QueueSettings> settings_; ///< stored
     std::vector<RunId> stopped_;
     std::vector<batch::Commit> pendingCommits_;
     std::vector<batch::AdviceRequest> adviceRequests_;
--- a/tests/fuzz/product_decoders.cpp
+++ b/tests/fuzz/product_decoders.cpp
@@ -92,6 +92,15 @@
     });
 }
 
+void decodeAcceptedSettings(const std::string &input)
+{
+    decodePayload(batch::PayloadKind::AcceptedSettings, input, [](const std::string &bytes) -> Result<void> {
+        BOOST_LEAF_AUTO(value, batch::decodeAcceptedSettings(bytes));
+        BOOST_LEAF_CHECK(batch::decodeAcceptedSettings(batch::encode(value)));
+        return {};
+    });
+}
+
 void decodeReport(const std::string &input)
 {
     decodePayload(batch::PayloadKind::Report, input, [](const std::string &bytes) -> Result<void> {
@@ -220,6 +229,7 @@
     Decoder{"progress", decodeProgress},
     Decoder{"folded-progress", decodeFoldedProgress},
     Decoder{"crash-history", decodeCrashHistory},
+    Decoder{"accepted-settings", decodeAcceptedSettings},
     Decoder{"start-record", decodeStartRecord},
     Decoder{"report", decodeReport},
     Decoder{"directive", decodeDirective},
--- a/tests/process/job_service_test.cpp
+++ b/tests/process/job_service_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(cancelledJobIsNotStoredAfterwards);
     CPPUNIT_TEST(cancelledJobIsNotStoredByALateWrite);
     CPPUNIT_TEST(storedJobIsAcceptedAgainAfterItsCancel);
+    CPPUNIT_TEST(settingsOfTheQueueAreStoredWithTheJob);
     CPPUNIT_TEST(submissionThatAnotherEntryMayStoreIsNotRefused);
     CPPUNIT_TEST(submissionThatNoOtherEntryGotIsRefused);
     CPPUNIT_TEST(submissionThatCanNotBeKeptIsRefusedWithItsReason);
@@ -148,6 +149,18 @@
         CPPUNIT_ASSERT_EQUAL(platform::statusOk, entry.service_.answer(submission()).status_);
     }
 
+    /// A leader that doesn't find the queue in its configuration took one attempt for all that the job had.
+    void settingsOfTheQueueAreStoredWithTheJob()
+    {
+        Entry entry("served", store_, store_, [] { return node::Members(); });
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entry.service_.answer(submission()).status_);
+        const std::vector<std::string> records = store_.values(node::keys::settings);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.size());
+        const auto record = value(batch::decodeAcceptedSettings(records.at(0)));
+        CPPUNIT_ASSERT(record.id_ == JobId(jobId));
+        CPPUNIT_ASSERT(record.settings_ == (batch::QueueSettings{ServiceId("service"), 1, 3, 3, std::chrono::seconds(1), std::nullopt}));
+    }
+
     void submissionThatAnotherEntryMayStoreIsNotRefused()
     {
         const Socket frozenEntry = value(listenTcp(*Address::parse("127.0.0.1:0"))); // its connections are never served
--- a/tests/support/formats.cpp
+++ b/tests/support/formats.cpp
@@ -275,6 +275,11 @@
 #if __has_include("core/batch/start_record.h")
     const batch::StartRecord starts{JobId("00000000000000aa"), batch::FleetTime(milliseconds(6)), {{1, 2, batch::FleetTime(milliseconds(3)), true}, {}}};
     samples.push_back({keys::starts, "start-record", batch::encode(starts), rewritePayload<batch::StartRecord, batch::decodeStartRecord>});
+#endif
+#if __has_include("core/batch/queue_settings.h")
+    const batch::PlacementPolicy policy{milliseconds(2), milliseconds(3), milliseconds(4)};
+    const batch::AcceptedSettings settings{JobId("00000000000000aa"), {ServiceId("service"), 5, 6, 1.5, milliseconds(7), policy}};
+    samples.push_back({keys::settings, "accepted-settings", batch::encode(settings), rewritePayload<batch::AcceptedSettings, batch::decodeAcceptedSettings>});
 #endif
     samples.push_back({keys::leader, "leader", Address::parse("10.1.2.3:9400")->str(), rewriteAddress});
     samples.push_back({keys::entries, "entry", Address::parse("10.1.2.4:9400")->str(), rewriteAddress});
