The record of a start tells when its run is called no more

A next leader waited for a start that could long not be carried out any more: the record, written before the start was ordered, counts its writing, the order and all calls that may follow (20 s), and wasn't written again when the run was listed (14 s from then at most).

nextLeaderKnowsThatAListedRunIsCalledNoMore fails without the change (seen).

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -73,6 +73,7 @@
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
     bool paceCompared_ = false; ///< its pace has been compared with its peers'
     Instant recordedAt_{}; ///< when the record that is to be stored before its start was last written
+    Instant recordedUntil_{}; ///< until when its start may be carried out by the record that was last written; zero if each call has been answered
     Instant orderedAt_{}; ///< when the order of its start was last released: by a commit, or by a former leader
     bool awaitsRecord_ = false; ///< its start isn't ordered again before version_ is stored
     Instant mayStartUntil_{}; ///< until then, a call of its start may be carried out, as far as this leader knows; its agent's process may know better
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -4,6 +4,7 @@
 #include "core/batch/health.h"
 #include "core/batch/ledger.h"
 #include "core/batch/runs.h"
+#include "core/batch/start_record.h"
 
 #include <algorithm>
 #include <utility>
@@ -216,11 +217,12 @@
         const bool mayStart = std::find(report.starting_.begin(), report.starting_.end(), task.run_) != report.starting_.end();
         // Runs that are listed for the first time, or are being stopped, stand in both lists as well.
         if (mayStart && run.phase_ == RunPhase::Running && run.listedAt_ < report.listedAt_) {
-            if (run.mayStartUntil_ == Instant()) {
-                cluster.jobs_.at(run.id_.task_.job_).markChanged(); // its record tells that each call has been answered
-            }
             run.lateStartNotedAt_ = run.lateStartNotedAt_.value_or(cluster.now_);
             run.mayStartUntil_ = std::min(cluster.now_, *run.lateStartNotedAt_ + maxCallTime) + maxCallDelay;
+            Job &job = cluster.jobs_.at(run.id_.task_.job_);
+            if (!job.hasUnstoredChanges() && isRecordOutdated(cluster, run)) {
+                job.markChanged();
+            }
         } else if (!mayStart && !mayStartUnknown(cluster, run, report)) {
             run.mayStartUntil_ = Instant();
         }
--- a/src/core/batch/start_record.cpp
+++ b/src/core/batch/start_record.cpp
@@ -17,6 +17,9 @@
 /// Interval of writing the record of a job with a run on a silent executor whose start may be late.
 constexpr milliseconds refreshInterval{2'000};
 
+/// A record isn't written again for a time that is earlier by less than this.
+constexpr milliseconds minRecordedGain{1'000};
+
 /// Calls \p visit with each run of \p job.
 template<class Runs, class Visitor>
 void forEachRun(Runs &runs, const JobId &job, Visitor visit)
@@ -26,16 +29,21 @@
     }
 }
 
-FleetTime possibleUntil(const ClusterState &cluster, const Run &run)
+/// Returns until when the start of \p run may be carried out if the leader changes now; zero if each call has been answered.
+Instant possibleUntil(const ClusterState &cluster, const Run &run)
 {
     if (run.phase_ == RunPhase::Committing || run.awaitsRecord_) {
-        return cluster.fleetClock_.readingAt(latestStart(cluster.now_ + maxCommitTime)) + milliseconds(1);
+        return latestStart(cluster.now_ + maxCommitTime);
     }
-    if (run.mayStartUntil_ == Instant()) {
-        return {};
+    if (run.mayStartUntil_ == Instant() || !run.lateStartNotedAt_) {
+        return run.mayStartUntil_;
     }
-    const Instant until = run.lateStartNotedAt_ ? *run.lateStartNotedAt_ + maxCallTime + maxCallDelay : run.mayStartUntil_;
-    return cluster.fleetClock_.readingAt(std::max(until, run.mayStartUntil_)) + milliseconds(1);
+    return std::max(run.mayStartUntil_, *run.lateStartNotedAt_ + maxCallTime + maxCallDelay);
+}
+
+FleetTime toFleetTime(const ClusterState &cluster, Instant until)
+{
+    return until == Instant() ? FleetTime() : cluster.fleetClock_.readingAt(until) + milliseconds(1);
 }
 
 void loadStart(ClusterState &cluster, Run &run, const RecordedStart &start)
@@ -70,7 +78,8 @@
     StartRecord record{job.submission_.id_, cluster.fleetClock_.readingAt(cluster.now_), {}};
     forEachRun(cluster.runs_, job.submission_.id_, [&](const Run &run) {
         const auto task = static_cast<std::uint32_t>(*indexOf(job.submission_, run.id_.task_));
-        record.runs_.push_back({task, run.id_.run_, possibleUntil(cluster, run), cluster.executors_.at(run.placement_.executor_).isLeaving_});
+        record.runs_.push_back(
+            {task, run.id_.run_, toFleetTime(cluster, possibleUntil(cluster, run)), cluster.executors_.at(run.placement_.executor_).isLeaving_});
     });
     return record.runs_.empty() ? std::nullopt : std::optional(std::move(record));
 }
@@ -79,12 +88,19 @@
 {
     job.startsRecordedAt_ = cluster.now_;
     forEachRun(cluster.runs_, job.submission_.id_, [&](Run &run) {
+        run.recordedUntil_ = possibleUntil(cluster, run);
         if (run.phase_ == RunPhase::Committing || run.awaitsRecord_) {
             run.recordedAt_ = cluster.now_;
         }
     });
 }
 
+bool isRecordOutdated(const ClusterState &cluster, const Run &run)
+{
+    const Instant until = possibleUntil(cluster, run);
+    return run.recordedUntil_ == Instant() || until + minRecordedGain < run.recordedUntil_;
+}
+
 void refreshStartRecords(ClusterState &cluster)
 {
     if (!cluster.mayIssueOrders()) {
--- a/src/core/batch/start_record.h
+++ b/src/core/batch/start_record.h
@@ -56,6 +56,10 @@
 /// Notes that the record of \p job is being written, and with it the starts of its runs. Thread safety: none.
 void noteRecordedStarts(ClusterState &cluster, Job &job);
 
+/// Returns whether the start of \p run, of which a call may be late, should be recorded again: the last record tells that each call has been answered, or
+/// a time that is too late. Thread-safe on const objects.
+[[nodiscard]] bool isRecordOutdated(const ClusterState &cluster, const Run &run);
+
 /// Marks jobs with runs on silent executors as changed, once when these fall silent, and now and then while a start may still be late: a next leader won't hear
 /// of these runs either, and goes on with the latest reading of the clock. Thread safety: none.
 void refreshStartRecords(ClusterState &cluster);
--- a/tests/unit/batch_silent_host_test.cpp
+++ b/tests/unit/batch_silent_host_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(ordersForASilentAgentPutOffNoWait);
     CPPUNIT_TEST(changesOfLeaderPutOffNoWaitForALateStart);
     CPPUNIT_TEST(waitIsReckonedFromTheRecordsOfTheLeaderBefore);
+    CPPUNIT_TEST(nextLeaderKnowsThatAListedRunIsCalledNoMore);
     CPPUNIT_TEST(runThatNoRecordTellsOfWaitsAsIfJustStarted);
     CPPUNIT_TEST(executorThatLeftUnderAFormerLeaderIsNoCrash);
     CPPUNIT_TEST(startIsNotOrderedForLongUnderOneRecord);
@@ -124,6 +125,16 @@
         CPPUNIT_ASSERT(!host.isWaiting());
     }
 
+    /// The record of the start, written before it was ordered, told a time that was seconds too late.
+    void nextLeaderKnowsThatAListedRunIsCalledNoMore()
+    {
+        SilentHost host;
+        host.replaceLeader(1s);
+        constexpr Duration listedAndAnswered = 2s;
+        host.advanceTo(listedAndAnswered + batch::maxCallDelay + longestLease + clockLoss);
+        CPPUNIT_ASSERT(!host.isWaiting());
+    }
+
     void runThatNoRecordTellsOfWaitsAsIfJustStarted()
     {
         LeaderBench bench(4);
