A restarted agent tells that the former executor is gone

The agent's polls of the former executor met refused connections for 12 s, and it told nobody; the leader waited until 55.8 s, for a late start and the longest lease after it.

The stop of a lost start isn't called while its executor is gone: it was refused and ordered again every 25 ms (stopOfALostStartIsNotCalledWhileItsExecutorIsGone).

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -138,10 +138,12 @@
 }
 
 /// Returns the executor to poll. A process of the agent that has heard of none yet polls the former one, whose name a next incarnation may have, while
-/// calls of a former process may still be carried out: the next incarnation is to see a fencing token at once.
+/// calls of a former process may still be carried out: the next incarnation is to see a fencing token at once. If nobody answers there, the polls go on until
+/// it is certain that the former one is gone.
 const Incarnation &AgentCore::polledIncarnation() const
 {
-    return executor_.incarnation_.executor_.empty() && orders_.mayStartLate(now_) ? formerIncarnation_ : executor_.incarnation_;
+    const bool pollsFormer = executor_.incarnation_.executor_.empty() && (orders_.mayStartLate(now_) || refusedSince_);
+    return pollsFormer ? formerIncarnation_ : executor_.incarnation_;
 }
 
 void AgentCore::pollNow()
@@ -235,7 +237,9 @@
     }
     acknowledged_ = std::max(acknowledged_, directive.acknowledged_);
     for (const RunId &run : directive.stops_) {
-        orders_.stop(now_, run);
+        if (!isGone() || !orders_.isLost(run)) { // nothing runs that could be stopped; the next incarnation's lists decide
+            orders_.stop(now_, run);
+        }
     }
     if (!reportSentAt || now_ - *reportSentAt > maxStartOrderAge || *reportSentAt < capacityShrankAt_) {
         return; // the directive was delayed in transit, or answers another process; the leader repeats the orders that it still needs
@@ -383,6 +387,9 @@
     Incarnation incarnation = heartbeat.executor_.incarnation_;
     incarnation.host_ = name_;
     incarnation.startTimeMs_ = startTimes_.corrected(incarnation.startTimeMs_);
+    if (isFormerAdopted_ && incarnation.startTimeMs_ < executor_.incarnation_.startTimeMs_) {
+        incarnation.startTimeMs_ = startTimes_.recordSuccessor(heartbeat.executor_.incarnation_.startTimeMs_, executor_.incarnation_.startTimeMs_);
+    }
     const bool sameIncarnation = incarnation == executor_.incarnation_;
     if (incarnation.startTimeMs_ < executor_.incarnation_.startTimeMs_ || (sameIncarnation && heartbeat.sequence_ <= heartbeatSequence_)) {
         log("heartbeat-ignored", {{"executor", incarnation.executor_.str()}, {"born", std::to_string(incarnation.startTimeMs_)}});
@@ -390,6 +397,7 @@
     }
     if (!sameIncarnation) {
         formerIncarnation_ = {};
+        isFormerAdopted_ = false;
         const bool sameName = incarnation.executor_ == executor_.incarnation_.executor_;
         log("executor-seen",
             {{"executor", incarnation.executor_.str()},
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -164,6 +164,7 @@
     [[nodiscard]] std::int64_t startTimeOf(const PollAnswered &answer);
     void noteReplacement(std::int64_t startTimeMs);
     void noteFenced(std::int64_t startTimeMs);
+    void adoptFormerIfGone();
     void assumeNothingRuns(const char *reason);
     void pollNow();
     void hurryFencing();
@@ -193,6 +194,7 @@
     Instant permitEnd_{};
     ExecutorInfo executor_;
     Incarnation formerIncarnation_; ///< the host's last one that the leader knows of, while this process has heard of none
+    bool isFormerAdopted_ = false; ///< executor_ is the former incarnation, of which this process has heard nothing but that it is gone
     std::int64_t heartbeatSequence_ = 0;
     Instant heartbeatAt_{}; ///< when the executor sent its last heartbeat
     ExecutorTime heartbeatClock_{0}; ///< the executor's clock at heartbeatAt_; 0 if unknown
--- a/src/core/batch/agent_polls.cpp
+++ b/src/core/batch/agent_polls.cpp
@@ -3,6 +3,7 @@
 #include "core/batch/board.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotwick::batch {
 
@@ -122,6 +123,7 @@
     incarnationConfirmed_ = false;
     reportDue_ = reportDue_ || failedPolls_ + 1 == failedPollsUntilUnresponsive;
     ++failedPolls_;
+    adoptFormerIfGone();
     if (executor_.incarnation_.executor_.empty() || epoch_ == 0) {
         return;
     }
@@ -132,6 +134,18 @@
     }
 }
 
+/// Takes the former incarnation, which the leader has told of, for this process's executor once nobody has listened at its address for long enough, and no
+/// call of a former process can be carried out any more: the report that nothing runs there settles its runs.
+void AgentCore::adoptFormerIfGone()
+{
+    const bool isUnknown = executor_.incarnation_.executor_.empty() && !formerIncarnation_.executor_.empty();
+    if (!isUnknown || epoch_ == 0 || !isGone() || !orders_.knowsAllCalls(refusedAt_)) {
+        return;
+    }
+    executor_.incarnation_ = std::exchange(formerIncarnation_, {});
+    isFormerAdopted_ = true;
+}
+
 void AgentCore::assumeNothingRuns(const char *reason)
 {
     if (listsValid_ && running_.empty() && ended_.empty() && !orders_.isAnyOpen()) {
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -415,6 +415,12 @@
     return found != orders_.end() && mayStartLate(found->second, now);
 }
 
+bool Orders::isLost(const RunId &run) const
+{
+    const auto found = orders_.find(run);
+    return found != orders_.end() && found->second.phase_ == Phase::Lost;
+}
+
 int Orders::attempts(const RunId &run) const
 {
     const auto found = orders_.find(run);
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -130,6 +130,9 @@
     /// Returns whether a start of \p run may be carried out after \p now: a call of it is in progress, or was given up shortly before.
     [[nodiscard]] bool mayStartLate(Instant now, const RunId &run) const;
 
+    /// Returns whether the incarnation on which \p run was called has ended, but a call of its start may still reach the next one.
+    [[nodiscard]] bool isLost(const RunId &run) const;
+
     /// Returns how often the start of \p run has been called.
     [[nodiscard]] int attempts(const RunId &run) const;
 
--- a/tests/unit/batch_late_start_test.cpp
+++ b/tests/unit/batch_late_start_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(heldUpFirstPollOfANextIncarnationIsRepeated);
     CPPUNIT_TEST(pollThatHangsAfterRefusedConnectionsIsRepeated);
     CPPUNIT_TEST(restartedAgentFencesANextIncarnationBeforeItsFirstHeartbeat);
+    CPPUNIT_TEST(restartedAgentTellsThatTheFormerExecutorIsGone);
+    CPPUNIT_TEST(stopOfALostStartIsNotCalledWhileItsExecutorIsGone);
     CPPUNIT_TEST(nextIncarnationGetsNoLeaseOnTheFormerClock);
     CPPUNIT_TEST(lostStartIsNotSettledWhileTheNextIncarnationMayRunIt);
     CPPUNIT_TEST(lostStartIsSettledOnceTheNextIncarnationIsGone);
@@ -107,6 +109,54 @@
         CPPUNIT_ASSERT(agent.nextPoll(now + longestCallDelay).incarnation_.executor_.empty());
     }
 
+    /// A run waited for a late start and the longest lease after that, though its host was back without its executor.
+    void restartedAgentTellsThatTheFormerExecutorIsGone()
+    {
+        batch::AgentCore agent("host", 400ms);
+        Instant now{std::chrono::hours(1)};
+        const Instant begun = now;
+        (void)agent.step(now, {});
+        batch::Directive directive;
+        directive.epoch_ = 7;
+        directive.echoSequence_ = 1;
+        directive.echoSentAt_ = now.time_since_epoch();
+        directive.incarnation_ = {ExecutorId("x"), 5'000, "host"};
+        (void)agent.step(now, {directive});
+        std::optional<batch::Report> told;
+        while (!told && now < begun + 20s) {
+            now += 200ms;
+            CPPUNIT_ASSERT(agent.nextPoll(now).incarnation_.executor_ == ExecutorId("x"));
+            for (const batch::AgentOutput &output : agent.step(now, {batch::PollFailed{true}})) {
+                const auto *report = std::get_if<batch::Report>(&output);
+                if (report != nullptr && report->executor_.incarnation_.executor_ == ExecutorId("x")) {
+                    told = *report;
+                }
+            }
+        }
+        CPPUNIT_ASSERT(told && now >= begun + batch::maxCallDelay && now <= begun + batch::maxCallDelay + 1s);
+        CPPUNIT_ASSERT(told->listsValid_ && told->running_.empty() && !told->responsive_ && knowsAllCalls(*told));
+        batch::HeartbeatReceived successor;
+        successor.executor_.incarnation_ = {ExecutorId("y"), 4'000, ""}; // its clock was set back
+        successor.sequence_ = 1;
+        (void)agent.step(now, {successor});
+        CPPUNIT_ASSERT(agent.nextPoll(now).incarnation_.executor_ == ExecutorId("y"));
+    }
+
+    /// The stop was called, refused and called again every 25 ms, with two log lines each time.
+    void stopOfALostStartIsNotCalledWhileItsExecutorIsGone()
+    {
+        OrdersBench bench;
+        (void)bench.answerStart(OrderAnswer::Unknown);
+        bench.loseExecutor();
+        std::size_t stops = 0;
+        for (int directive = 0; directive < 10; ++directive) {
+            stops += AgentBench::count<batch::CallStop>(bench.orderStop());
+            bench.refusePolls();
+            bench.advance(25ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, stops);
+    }
+
     void nextIncarnationGetsNoLeaseOnTheFormerClock()
     {
         AgentBench bench;
