The room of tasks that last isn't about to be free

Cause: the percent of a run was taken for its progress also where the task lasts, so that its room counted as free in a moment, and all executors were reserved for the large job.

--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -49,12 +49,13 @@
     return cpuEquivalent(step) * static_cast<std::int64_t>(group.tasks_.size()) * cluster.expectedTime(*group.job_, step).count();
 }
 
-/// Returns the remaining time of \p run, extrapolated from its progress, or std::nullopt if it has progressed too little to tell.
+/// Returns the remaining time of \p run, extrapolated from its progress, or std::nullopt if it has progressed too little to tell, or its task lasts: the
+/// progress of such a task doesn't tell of its end.
 std::optional<milliseconds> expectedRemainingTime(const ClusterState &cluster, const Run &run)
 {
     constexpr std::int32_t minProgressPercent = 5;
-    const bool gang = cluster.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_].gang_;
-    if (gang || run.phase_ != RunPhase::Running || run.percent_ < minProgressPercent) {
+    const Step &step = cluster.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_];
+    if (step.gang_ || step.longRunning_ || run.phase_ != RunPhase::Running || run.percent_ < minProgressPercent) {
         return std::nullopt; // a gang ends with its slowest member
     }
     return remainingTimeAtPace(cluster, run);
--- a/tests/unit/batch_leader_test.cpp
+++ b/tests/unit/batch_leader_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(preemptedGangSparesOtherVictims);
     CPPUNIT_TEST(preemptedGangIsCountedOnce);
     CPPUNIT_TEST(placementPolicyRestrictsExecutors);
+    CPPUNIT_TEST(roomOfLastingTasksIsNotAboutToBeFree);
     CPPUNIT_TEST(waitingJobsAreCountedByQueue);
     CPPUNIT_TEST(waitingJobsAreUnknownWithoutStore);
     CPPUNIT_TEST_SUITE_END();
@@ -157,6 +158,24 @@
         CPPUNIT_ASSERT(bench.ticketsUsed() == std::vector<std::string>({"ticket-1", "ticket-1"}));
     }
 
+    /// One large job that fits nowhere kept all other jobs from beginning, with most accelerators free: it reserved the executors of tasks at 100 %.
+    void roomOfLastingTasksIsNotAboutToBeFree()
+    {
+        LeaderBench bench(2);
+        batch::Submission lasting = makeJob("lasting", 2, {1'000, 1'000, 1}, 1s);
+        lasting.steps_[0].longRunning_ = true;
+        lasting.steps_[0].antiAffinity_ = 1;
+        for (const RunId &run : bench.submitAndStart(lasting)) {
+            bench.setPercent(run, 100);
+        }
+        bench.advanceTime(2s);
+        batch::Submission large = urgentJob("large", 2, {1'000, 1'000, 8}, std::chrono::hours(1));
+        large.workspace_ = WorkspaceId("without-guarantee");
+        bench.submit(large);
+        bench.advanceTime(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.submitAndStart(makeJob("small", 1, {1'000, 1'000, 1}, 1s)).size());
+    }
+
     void waitingJobsAreCountedByQueue()
     {
         LeaderBench bench(1);
