A gang doesn't wait for its rack by a long estimate while the fleet is idle

Cause: maxRackWait grows with the estimate. Change: while less than half of each resource of the service's executors is in use, a group waits for its rack for 2 s at most. The test fails without the change.

--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -12,24 +12,49 @@
 /// Maximum time that guaranteed work waits for its rack. A guarantee must be reclaimed within a time limit, and stops take as long again.
 constexpr milliseconds maxGuaranteedRackWait{600};
 
-/// Share of used accelerators from which a fleet counts as busy, in percent.
+/// Maximum time that a group waits for its rack in a fleet that is mostly idle. The loss on other racks is computed from an estimate that may be
+/// far too long, while the executors that it waits for stay unused.
+constexpr milliseconds maxIdleRackWait{2'000};
+
+/// Share of used resources from which a fleet counts as busy, and below which it counts as idle, in percent.
 constexpr std::int64_t busyThresholdPercent = 75;
+constexpr std::int64_t idleThresholdPercent = 50;
+
+/// Resources of the executors of a service that may be assigned work, and how much of them runs occupy.
+struct Utilization
+{
+    ResourceVector capacity_;
+    ResourceVector used_;
+
+    /// Returns whether at least busyThresholdPercent of the accelerators are in use.
+    [[nodiscard]] bool isBusy() const noexcept
+    {
+        return used_.accelerators_ * 100 >= capacity_.accelerators_ * busyThresholdPercent;
+    }
+
+    /// Returns whether less than idleThresholdPercent of each resource is in use.
+    [[nodiscard]] bool isIdle() const noexcept
+    {
+        const auto isBelow = [](std::int64_t used, std::int64_t capacity) { return used * 100 < capacity * idleThresholdPercent || capacity == 0; };
+        return isBelow(used_.cpuMilli_, capacity_.cpuMilli_) && isBelow(used_.memoryMb_, capacity_.memoryMb_)
+            && isBelow(used_.accelerators_, capacity_.accelerators_);
+    }
+};
 
-bool isBusy(const ClusterState &cluster, const ServiceId &service)
+Utilization utilizationOf(const ClusterState &cluster, const ServiceId &service)
 {
-    std::int64_t capacity = 0;
-    std::int64_t used = 0;
+    Utilization utilization;
     for (const auto &[id, executor] : cluster.executors_) {
         if (isSchedulable(cluster, executor, service)) {
-            capacity += executor.info_.capacity_.accelerators_;
-            used += executor.used_.accelerators_;
+            utilization.capacity_ += executor.info_.capacity_;
+            utilization.used_ += executor.used_;
         }
     }
-    return used * 100 >= capacity * busyThresholdPercent;
+    return utilization;
 }
 
 /// Returns how long \p group waits for its rack before it accepts any: half of the time that it would lose on another rack, or twice
-/// that time in a busy fleet, where it would delay other work by as much.
+/// that time in a busy fleet, where it would delay other work by as much. In an idle fleet, maxIdleRackWait at most.
 milliseconds maxRackWait(const ClusterState &cluster, const WaitingGroup &group)
 {
     const Job &job = *group.job_;
@@ -38,7 +63,11 @@
     if (group.guaranteed_) {
         return std::min(loss / 2, maxGuaranteedRackWait);
     }
-    return isBusy(cluster, job.submission_.service_) ? loss * 2 : loss / 2;
+    const Utilization utilization = utilizationOf(cluster, job.submission_.service_);
+    if (utilization.isIdle()) {
+        return std::min(loss / 2, maxIdleRackWait);
+    }
+    return utilization.isBusy() ? loss * 2 : loss / 2;
 }
 
 std::string rackOf(const ClusterState &cluster, const Incarnation &incarnation)
--- a/tests/unit/batch_rack_test.cpp
+++ b/tests/unit/batch_rack_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(newLeaderDiscoversExecutorsBeforeSpreadingAGang);
     CPPUNIT_TEST(urgentTaskPreemptsOnTheRackOfItsData);
     CPPUNIT_TEST(largeWorkIsNotPreemptedForDataLocality);
+    CPPUNIT_TEST(gangWithTooLongAnEstimateStartsInAnIdleFleet);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,25 @@
         CPPUNIT_ASSERT(bench.executorsOf("urgent") == std::set<std::size_t>({1}));
     }
 
+    /// Each rack has an executor with a task that goes on, so that no rack ever has room for the gang.
+    void gangWithTooLongAnEstimateStartsInAnIdleFleet()
+    {
+        LeaderBench bench(6);
+        assignRacks(bench, {"r1", "r2", "r3", "r1", "r2", "r3"});
+        for (std::size_t executor = 0; executor < 3; ++executor) {
+            batch::Submission filler = makeJob("filler-" + std::to_string(executor), 1, {1'000, 1'000, 2}, 100s);
+            filler.steps_[0].affinity_ = "r" + std::to_string(executor + 1);
+            bench.submit(filler);
+        }
+        bench.advanceTime(100ms);
+        batch::Submission gang = makeGang("gang", 2, wholeExecutor, 56s);
+        gang.queue_ = "h/1/";
+        gang.steps_[0].sameRack_ = true;
+        bench.submit(gang);
+        bench.advanceTime(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.running("gang").size());
+    }
+
 private:
     static void assignRacks(LeaderBench &bench, const std::vector<std::string> &racks)
     {
