--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -3,6 +3,7 @@
 #include "core/batch/cluster_config.h"
 #include "core/batch/crash_history.h"
 #include "core/batch/fleet_clock.h"
+#include "core/batch/host_profiles.h"
 #include "core/batch/job.h"
 #include "core/batch/messages.h"
 #include "core/batch/run_times.h"
@@ -71,7 +72,8 @@
     Duration checkpointAt_{}; ///< when the last of them was listed, on the agent's clock
     bool inherited_ = false; ///< started by a former leader: how long it has run isn't known
     bool isolated_ = false; ///< its task may crash executors: until it has survived, nothing else starts on its executor
-    bool paceCompared_ = false; ///< its pace has been compared with its peers'
+    Instant percentAt_{}; ///< when percent_ last rose, on the leader's clock
+    std::uint32_t paceSamples_ = 0; ///< how often its pace has been recorded
     Instant recordedAt_{}; ///< when the record that is to be stored before its start was last written
     Instant recordedUntil_{}; ///< until when its start may be carried out by the record that was last written; zero if each call has been answered
     Instant orderedAt_{}; ///< when the order of its start was last released: by a commit, or by a former leader
@@ -117,8 +119,6 @@
     Instant failedAt_{}; ///< when a task last failed here
     Instant succeededAt_{}; ///< when a task last succeeded here
     Instant quarantinedUntil_{};
-    double logSlowness_ = 0; ///< sum over comparisons of the logarithm of the ratio of a run's pace to its peers'
-    double comparisons_ = 0;
 
     /// Returns the rack named by the executor's labels, or an empty string.
     [[nodiscard]] std::string rack() const;
@@ -148,6 +148,7 @@
     std::map<std::size_t, std::set<ExecutorId>> excludedExecutors_; ///< by task index: executors on which it failed, was refused, stalled or straggled
     std::map<std::size_t, Reservation> reservations_; ///< by first task of the group
     std::uint32_t stragglerMoves_ = 0; ///< how many stragglers have been stopped to run elsewhere
+    std::uint32_t lateMoves_ = 0; ///< how often its gang has been stopped to run on faster hosts
     std::map<std::size_t, std::size_t> stalls_; ///< by first task that starts together: how many runs have been stopped as stalled
     std::map<std::size_t, Instant> waitingSince_; ///< by first task of each group that waits for executors
     std::set<std::size_t> reportedHolds_; ///< first tasks of groups whose executor holds have been logged; each is logged once
@@ -278,6 +279,8 @@
     std::map<RunId, Run> runs_;
     std::map<ServiceId, UrgentDemand> urgent_;
     RunTimes runTimes_;
+    HostProfiles hosts_;
+    std::set<std::string> slowHosts_; ///< hosts that are slower than the tightest queue of their executors' service allows
     std::set<JobId> jobsWithCrashes_; ///< jobs whose crashes_ isn't empty
     std::vector<ObservedCrash> recentCrashes_; ///< oldest first
     std::map<StepId, Advice> advice_;
@@ -296,7 +299,7 @@
         return now_ - leaderLeaseRenewedAt_ < maxRenewalAgeForPermits;
     }
 
-    /// Returns the expected run time of a task of \p step.
+    /// Returns the expected run time of a task of \p step on the median host.
     [[nodiscard]] milliseconds expectedTime(const Job &job, const Step &step) const
     {
         return runTimes_.expected(job.submission_.queue_, step.estimate_);
--- a/src/core/batch/holding.cpp
+++ b/src/core/batch/holding.cpp
@@ -148,7 +148,7 @@
     std::vector<Candidate> sorted;
     std::int64_t capacity = 0;
     for (const auto &[id, executor] : cluster_.executors_) {
-        if (!isSchedulable(cluster_, executor, service)) {
+        if (!isSchedulable(cluster_, executor, service) || cluster_.slowHosts_.contains(executor.info_.incarnation_.host_)) {
             continue;
         }
         capacity += executor.info_.capacity_.accelerators_;
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -4,7 +4,9 @@
 #include "core/batch/codec.h"
 #include "core/batch/crashes.h"
 #include "core/batch/folded_record.h"
+#include "core/batch/host_speeds.h"
 #include "core/batch/inferred_ends.h"
+#include "core/batch/late_gangs.h"
 #include "core/batch/ledger.h"
 #include "core/batch/placing.h"
 #include "core/batch/record.h"
@@ -82,9 +84,11 @@
     for (LeaderInput &input : inputs) {
         std::visit([this](auto &&typedInput) { handle(std::forward<decltype(typedInput)>(typedInput)); }, std::move(input));
     }
+    refreshSpeeds(cluster_);
     expireSilentLeases(cluster_);
     decideOnSuspects(cluster_);
     relocateStuckRuns(cluster_);
+    moveLateGangs(cluster_);
     placeWaiting(cluster_);
     markExpiredJobs();
     removeRecordsOfUnstoredJobs();
--- a/src/core/batch/pace.cpp
+++ b/src/core/batch/pace.cpp
@@ -1,7 +1,6 @@
 #include "core/batch/pace.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace bergamotwick::batch {
 
@@ -11,25 +10,9 @@
 constexpr std::int32_t minPacePercent = 3;
 constexpr milliseconds minPaceTime{400};
 
-/// Progress at which the pace of a run is compared with its peers'.
-constexpr std::int32_t comparisonPercent = 50;
-
-/// Weight of the prior assumption that executors are equally fast, in comparisons.
-constexpr double priorComparisons = 1;
-
-/// Limits the effect of one comparison: a task may be larger than its peers, or its executor slow only temporarily.
-constexpr double maxPaceRatio = 2;
-
-/// Urgent work avoids executors on which tasks take longer by more than this factor. The excess uses up a part of the slack in its latency
-/// objectives.
+/// Urgent work avoids hosts on which tasks take longer by more than this factor. The excess uses up a part of the slack in its latency objectives.
 constexpr double slowRatio = 1.15;
 
-/// Returns the estimated ratio of a task's run time on \p executor to that on a median one; 1 without comparisons.
-double slownessOf(const Executor &executor)
-{
-    return std::exp(executor.logSlowness_ / (executor.comparisons_ + priorComparisons));
-}
-
 }
 
 std::optional<Duration> paceOf(const Run &run)
@@ -76,28 +59,9 @@
     return std::chrono::duration_cast<milliseconds>(cluster.now_ - run.startedAt_) * (100 - run.percent_) / run.percent_;
 }
 
-void updateSlowness(ClusterState &cluster, Executor &executor)
-{
-    for (const RunId &id : executor.runs_) {
-        Run &run = cluster.runs_.at(id);
-        if (run.paceCompared_ || run.percent_ < comparisonPercent) {
-            continue;
-        }
-        run.paceCompared_ = true;
-        const Step &step = cluster.jobs_.at(id.task_.job_).submission_.steps_[id.task_.step_];
-        const auto ownPace = paceOf(run);
-        const auto peerPace = step.affinity_.empty() ? medianPeerPace(cluster, run) : std::nullopt; // data locality would be taken for speed
-        if (ownPace && peerPace && peerPace->count() > 0) {
-            const double ratio = static_cast<double>(ownPace->count()) / static_cast<double>(peerPace->count());
-            executor.logSlowness_ += std::log(std::clamp(ratio, 1 / maxPaceRatio, maxPaceRatio));
-            executor.comparisons_ += 1;
-        }
-    }
-}
-
-bool isSlowForUrgent(const Executor &executor)
+bool isSlowForUrgent(const ClusterState &cluster, const Executor &executor)
 {
-    return slownessOf(executor) > slowRatio;
+    return cluster.hosts_.isSlowerThan(executor.info_.incarnation_.host_, slowRatio);
 }
 
 }
--- a/src/core/batch/pace.h
+++ b/src/core/batch/pace.h
@@ -6,9 +6,7 @@
 
 namespace bergamotwick::batch {
 
-/// Pace of runs, in time per percent of progress, and the speed of executors derived from it. Tasks of one step are expected to progress
-/// alike, so differences show the speed of their executors. Supports fleets of executors of different speeds. Thread safety of all functions:
-/// none; one thread owns the cluster state.
+/// Pace of runs, in time per percent of progress. Thread safety of all functions: none; one thread owns the cluster state.
 
 /// Returns the time that \p run takes for one percent, or std::nullopt if it has progressed too little to tell.
 [[nodiscard]] std::optional<Duration> paceOf(const Run &run);
@@ -22,10 +20,7 @@
 /// Returns the remaining time of \p run, extrapolated from its progress since its start. Precondition: its percentage is above 0.
 [[nodiscard]] milliseconds remainingTimeAtPace(const ClusterState &cluster, const Run &run);
 
-/// Updates the slowness of \p executor: compares each of its runs with its peers once, when it is half done.
-void updateSlowness(ClusterState &cluster, Executor &executor);
-
-/// Returns whether \p executor is so slow that urgent work should use others first.
-[[nodiscard]] bool isSlowForUrgent(const Executor &executor);
+/// Returns whether the host of \p executor is so slow that urgent work should use others first.
+[[nodiscard]] bool isSlowForUrgent(const ClusterState &cluster, const Executor &executor);
 
 }
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -5,6 +5,7 @@
 #include "core/batch/guarantees.h"
 #include "core/batch/health.h"
 #include "core/batch/holding.h"
+#include "core/batch/host_choice.h"
 #include "core/batch/isolation.h"
 #include "core/batch/ledger.h"
 #include "core/batch/pace.h"
@@ -21,29 +22,47 @@
 /// Executors for the waiting tasks of a group; shorter than the group if some tasks have to wait.
 using Placement = std::vector<std::pair<std::size_t, Incarnation>>;
 
+/// Returns the resources on \p executor that a group which is to be moved frees.
+ResourceVector resourcesOfRuns(const ClusterState &cluster, const Executor &executor, const WaitingGroup &group)
+{
+    ResourceVector resources;
+    if (!group.isRunning_) {
+        return resources;
+    }
+    for (const std::size_t task : group.tasks_) {
+        const TaskProgress &progress = group.job_->progress_.tasks_[task];
+        if (progress.assigned_ && progress.placement_ == executor.info_.incarnation_) {
+            resources += cluster.runs_.at({taskOf(group.job_->submission_, group.group_, task), progress.run_}).resources_;
+        }
+    }
+    return resources;
+}
+
 /// Tracks the free resources of the candidate executors while a group is placed.
 class TentativeAllocation
 {
 public:
-    TentativeAllocation(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group)
+    TentativeAllocation(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const HostChoice &hosts)
         : cluster_(cluster)
         , group_(group)
         , isolates_(!group.job_->crashes_.empty() && !mayStartUnisolated(cluster, group))
     {
         for (const Executor *executor : executors) {
-            const ResourceVector free = freeResources(cluster, *executor, group);
+            ResourceVector free = freeResources(cluster, *executor, group);
+            free += resourcesOfRuns(cluster, *executor, group);
             candidates_.push_back({executor,
                                    free,
                                    antiAffinityHeadroom(*executor, group),
                                    isSuspect(cluster, *executor),
-                                   group.job_->settings_.priority_ == 0 && isSlowForUrgent(*executor),
+                                   hosts.fitOf(*executor),
+                                   group.job_->settings_.priority_ == 0 && isSlowForUrgent(cluster, *executor),
                                    isolates_ && isSettled(cluster, *executor),
                                    isolates_ ? recentCrashesOnHost(cluster, *executor) : 0});
         }
     }
 
     /// Allocates resources for \p task and returns the executor, or a null pointer if the task fits nowhere. Prefers executors that aren't
-    /// suspect, then those on \p rack, then (for urgent work) those that aren't slow, then the fullest.
+    /// suspect, then those on \p rack, then those whose host suits the group best, then (for urgent work) those that aren't slow, then the fullest.
     [[nodiscard]] const Executor *allocate(std::size_t task, const std::string &rack, bool onlyRack)
     {
         const ResourceVector demand = step().countedDemand();
@@ -74,6 +93,7 @@
         ResourceVector free_;
         std::uint32_t headroom_ = 0;
         bool suspect_ = false;
+        HostFit fit_ = HostFit::Neutral;
         bool slow_ = false; ///< too slow for the group; set only for urgent work
         bool settled_ = false; ///< isSettled(); set only if the group has tasks to isolate
         std::size_t hostCrashes_ = 0; ///< recentCrashesOnHost(); likewise
@@ -100,6 +120,9 @@
         if (leftOnRack != rightOnRack) {
             return leftOnRack;
         }
+        if (left.fit_ != right.fit_) {
+            return left.fit_ < right.fit_;
+        }
         if (left.slow_ != right.slow_) {
             return right.slow_;
         }
@@ -116,9 +139,14 @@
 };
 
 /// Places as many tasks as fit. Prefers \p rack, or uses no other one if \p onlyRack.
-Placement placeTasks(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const std::string &rack, bool onlyRack)
+Placement placeTasks(const ClusterState &cluster,
+                     const std::vector<Executor *> &executors,
+                     const WaitingGroup &group,
+                     const HostChoice &hosts,
+                     const std::string &rack,
+                     bool onlyRack)
 {
-    TentativeAllocation allocation(cluster, executors, group);
+    TentativeAllocation allocation(cluster, executors, group, hosts);
     Placement placement;
     for (const std::size_t task : group.tasks_) {
         const Executor *executor = allocation.allocate(task, rack, onlyRack);
@@ -129,29 +157,41 @@
     return placement;
 }
 
-/// Places a group that is slower away from its data or spread over racks. Uses other racks only if mayUseOtherRacks().
-Placement placeWithRackPreference(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group)
+/// Returns how well the least suitable host of \p placement suits its group.
+HostFit worstFit(const ClusterState &cluster, const HostChoice &hosts, const Placement &placement)
+{
+    HostFit worst = HostFit::Preferred;
+    for (const auto &[task, incarnation] : placement) {
+        worst = std::max(worst, hosts.fitOf(cluster.executors_.at(incarnation.executor_)));
+    }
+    return worst;
+}
+
+/// Places a group that is slower away from its data or spread over racks. Of the racks with room for all tasks, takes the one whose hosts suit best. Uses other
+/// racks only if mayUseOtherRacks().
+Placement
+placeWithRackPreference(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const HostChoice &hosts)
 {
     Placement best;
     for (const std::string &rack : preferredRacks(cluster, group, executors)) {
-        Placement placement = placeTasks(cluster, executors, group, rack, true);
-        if (placement.size() > best.size()) {
+        Placement placement = placeTasks(cluster, executors, group, hosts, rack, true);
+        const bool isComplete = placement.size() == group.tasks_.size();
+        const bool suitsBetter = isComplete && placement.size() == best.size() && worstFit(cluster, hosts, placement) < worstFit(cluster, hosts, best);
+        if (placement.size() > best.size() || suitsBetter) {
             best = std::move(placement);
         }
-        if (best.size() == group.tasks_.size()) {
-            return best;
-        }
     }
-    if (!mayUseOtherRacks(cluster, group)) {
+    if (best.size() == group.tasks_.size() || !mayUseOtherRacks(cluster, group)) {
         return best;
     }
-    return placeTasks(cluster, executors, group, group.job_->submission_.steps_[group.group_.step_].affinity_, false);
+    return placeTasks(cluster, executors, group, hosts, group.job_->submission_.steps_[group.group_.step_].affinity_, false);
 }
 
-Placement findPlacement(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group)
+Placement findPlacement(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const HostChoice &hosts)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
-    Placement placement = prefersRack(step) ? placeWithRackPreference(cluster, executors, group) : placeTasks(cluster, executors, group, "", false);
+    Placement placement = prefersRack(step) ? placeWithRackPreference(cluster, executors, group, hosts)
+                                            : placeTasks(cluster, executors, group, hosts, "", false);
     if (step.gang_ && placement.size() < group.tasks_.size()) {
         placement.clear();
     }
@@ -287,6 +327,27 @@
     }
 }
 
+bool mayPreempt(const ClusterState &cluster, const WaitingGroup &group)
+{
+    return group.job_->settings_.priority_ == 0 && cluster.hasDiscoveredAgents();
+}
+
+/// Prepares room for \p group on those of the \p executors whose hosts aren't too slow. Returns whether it is being cleared, or about to be free.
+bool preemptOnSuitableHosts(ClusterState &cluster, const WaitingGroup &group, std::vector<Executor *> executors, const HostChoice &hosts)
+{
+    const auto tooSlow = std::erase_if(executors, [&hosts](const Executor *executor) { return hosts.fitOf(*executor) == HostFit::TooSlow; });
+    return tooSlow > 0 && preemptFor(cluster, group, executors);
+}
+
+/// Returns whether \p group, which could start now by \p placement, should wait for hosts on which it ends in time: it would miss its objective on some of
+/// those, and room on others is being cleared.
+bool waitsForFasterHosts(
+    ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors, const HostChoice &hosts, const Placement &placement)
+{
+    return !placement.empty() && worstFit(cluster, hosts, placement) == HostFit::TooSlow && mayPreempt(cluster, group)
+        && preemptOnSuitableHosts(cluster, group, executors, hosts);
+}
+
 /// Places the waiting tasks of \p group as far as possible, and prepares for the others: asks for tickets, stops other work or holds executors.
 void placeGroup(ClusterState &cluster, const WaitingGroup &group, ExecutorHolds &holds, std::vector<AdviceProposal> &proposals)
 {
@@ -295,7 +356,11 @@
     std::erase_if(candidates, [&](const Executor *executor) { return !holds.mayUse(*executor, group.rank()); });
     std::vector<Executor *> executors = candidates;
     keepWithTickets(cluster, group, executors);
-    const Placement placement = findPlacement(cluster, executors, group);
+    const HostChoice hosts(cluster, group);
+    const Placement placement = findPlacement(cluster, executors, group, hosts);
+    if (waitsForFasterHosts(cluster, group, executors, hosts, placement)) {
+        return;
+    }
     if (!placement.empty()) {
         assign(cluster, group, placement);
     }
@@ -309,7 +374,7 @@
     if (isUnplaced && waitsForIsolation(cluster, group)) {
         return; // an executor of its own may be free soon; nothing is stopped or held for it
     }
-    if (isUnplaced && group.job_->settings_.priority_ == 0 && cluster.hasDiscoveredAgents()) {
+    if (isUnplaced && mayPreempt(cluster, group) && !preemptOnSuitableHosts(cluster, group, executors, hosts)) {
         preemptFor(cluster, group, executors);
     }
     if (missing > 0 && !group.zeroValue_) {
@@ -319,6 +384,19 @@
 
 }
 
+std::vector<Incarnation> findFasterPlacement(ClusterState &cluster, const WaitingGroup &group)
+{
+    const HostChoice hosts(cluster, group);
+    std::vector<Executor *> executors = findCandidates(cluster, group);
+    std::erase_if(executors, [&hosts](const Executor *executor) { return hosts.fitOf(*executor) > HostFit::Neutral; });
+    keepWithTickets(cluster, group, executors);
+    std::vector<Incarnation> placements;
+    for (const auto &[task, incarnation] : findPlacement(cluster, executors, group, hosts)) {
+        placements.push_back(incarnation);
+    }
+    return placements;
+}
+
 std::uint32_t antiAffinityHeadroom(const Executor &executor, const WaitingGroup &group)
 {
     const std::uint32_t limit = group.job_->submission_.steps_[group.group_.step_].antiAffinity_;
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -244,7 +244,7 @@
         if (!count) {
             continue;
         }
-        std::int64_t lost = isSlowForUrgent(*candidate.executor_) ? slowCost : 0;
+        std::int64_t lost = isSlowForUrgent(cluster, *candidate.executor_) ? slowCost : 0;
         for (std::size_t at = 0; at < *count; ++at) {
             lost += candidate.victims_[at].lostWork_;
         }
@@ -320,18 +320,18 @@
 
 }
 
-void preemptFor(ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors)
+bool preemptFor(ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors)
 {
     Job &job = *group.job_;
     const auto reserved = job.reservations_.find(group.group_.first_);
     if (reserved != job.reservations_.end()) {
         if (reserved->second.until_ > cluster.now_) {
-            return;
+            return true;
         }
         release(cluster, job, group.group_.first_);
     }
     if (group.late_ && !group.guaranteed_) {
-        return; // preemption would lose work and the group would miss its objective anyway
+        return false; // preemption would lose work and the group would miss its objective anyway
     }
     const milliseconds horizon = maxWaitForEnds(cluster, group);
     std::vector<Candidate> candidates;
@@ -341,7 +341,7 @@
     }
     const auto plan = cheapestPlan(cluster, candidates, group);
     if (!plan || (!group.guaranteed_ && plan->lostWork_ > groupWork(cluster, group))) {
-        return;
+        return false;
     }
     const milliseconds stopTime = cluster.limits_.stopLimit_ + stopRoundTrip;
     const bool waitsForEnds = plan->victims_.empty() && horizon.count() > 0;
@@ -354,6 +354,7 @@
     for (const RunId &victim : plan->victims_) {
         stopRun(cluster, victim, "preempted");
     }
+    return true;
 }
 
 }
--- a/src/core/batch/preemption.h
+++ b/src/core/batch/preemption.h
@@ -8,8 +8,8 @@
 /// that others have borrowed: chooses the victims that lose the least work, and reserves the resources for the group until the victims have
 /// ended.
 ///
-/// Does nothing while preemption for the group is in progress, or if no set of victims would free enough.
+/// Does nothing while preemption for the group is in progress, or if no set of victims would free enough. Returns whether resources are reserved for the group.
 /// Thread safety: none; one thread owns the cluster state.
-void preemptFor(ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors);
+bool preemptFor(ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors);
 
 }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -3,9 +3,9 @@
 #include "core/batch/capacity.h"
 #include "core/batch/crashes.h"
 #include "core/batch/health.h"
+#include "core/batch/host_speeds.h"
 #include "core/batch/inferred_ends.h"
 #include "core/batch/ledger.h"
-#include "core/batch/pace.h"
 #include "core/batch/racks.h"
 #include "core/batch/stall_limits.h"
 
@@ -77,7 +77,7 @@
     }
 }
 
-/// Records how long \p run took, for estimates of later run times. Skips runs that were restored from a checkpoint or slowed by their rack, and
+/// Records how long \p run took, or would have taken on the median host, for estimates of later run times. Skips runs that were restored from a checkpoint or slowed by their rack, and
 /// tasks that were already done.
 void recordRunTime(ClusterState &cluster, const Job &job, const Run &run)
 {
@@ -88,7 +88,8 @@
     if (alreadyDone || run.initialPercent_ > maxInitialPercent || (prefersRack(step) && !isRackLocal(cluster, job, group))) {
         return;
     }
-    cluster.runTimes_.record(job.submission_.queue_, step.estimate_, std::chrono::duration_cast<milliseconds>(cluster.now_ - run.startedAt_));
+    const double slowness = step.gang_ ? slownessOfPlacement(cluster, job, group) : cluster.hosts_.slowness(run.placement_.host_).value_or(1);
+    cluster.runTimes_.record(job.submission_.queue_, step.estimate_, std::chrono::duration_cast<milliseconds>((cluster.now_ - run.startedAt_) / slowness));
 }
 
 /// Applies the end of a tracked run to its task and job. Precondition: the run is in ClusterState::runs_.
@@ -256,6 +257,7 @@
     }
     if (task.percent_ > run.percent_) {
         run.percent_ = task.percent_;
+        run.percentAt_ = cluster.now_;
         run.progressAt_ = executor.listedAt_;
         if (std::exchange(run.restoring_, false)) {
             run.initialPercent_ = task.percent_;
@@ -285,8 +287,6 @@
         executor.failedJobs_.clear();
         executor.failedAt_ = Instant();
         executor.succeededAt_ = Instant();
-        executor.logSlowness_ = 0;
-        executor.comparisons_ = 0;
         executor.quarantinedUntil_ = Instant();
         cluster.logEvent("executor-seen",
                          {{"executor", report.executor_.incarnation_.executor_.str()},
@@ -409,7 +409,7 @@
     for (const RunningTask &task : report.running_) {
         applyRunningTask(cluster, executor, task);
     }
-    updateSlowness(cluster, executor);
+    observeSpeeds(cluster, executor);
     applyEnds(cluster, executor, report);
     for (const SettledOrder &order : report.settled_) {
         applySettledOrder(cluster, executor, report, order);
