--- a/src/core/batch/codec.cpp
+++ b/src/core/batch/codec.cpp
@@ -62,6 +62,11 @@
     return encodeAs<PayloadKind::AcceptedSettings>(value);
 }
 
+std::string encode(const FleetProfile &value)
+{
+    return encodeAs<PayloadKind::FleetProfile>(value);
+}
+
 std::string encode(const Report &value)
 {
     return encodeAs<PayloadKind::Report>(value);
@@ -102,6 +107,11 @@
     return decodeAs<PayloadKind::AcceptedSettings, AcceptedSettings>(bytes);
 }
 
+Result<FleetProfile> decodeFleetProfile(std::string_view bytes)
+{
+    return decodeAs<PayloadKind::FleetProfile, FleetProfile>(bytes);
+}
+
 Result<Report> decodeReport(std::string_view bytes)
 {
     BOOST_LEAF_AUTO(report, (decodeAs<PayloadKind::Report, Report>(bytes)));
--- a/src/core/batch/codec.h
+++ b/src/core/batch/codec.h
@@ -2,6 +2,7 @@
 
 #include "bergamotwick/error.h"
 #include "core/batch/crash_history.h"
+#include "core/batch/fleet_profile.h"
 #include "core/batch/folded_record.h"
 #include "core/batch/job.h"
 #include "core/batch/messages.h"
@@ -20,6 +21,7 @@
 [[nodiscard]] std::string encode(const CrashHistory &value);
 [[nodiscard]] std::string encode(const StartRecord &value);
 [[nodiscard]] std::string encode(const AcceptedSettings &value);
+[[nodiscard]] std::string encode(const FleetProfile &value);
 [[nodiscard]] std::string encode(const Report &value);
 [[nodiscard]] std::string encode(const Directive &value);
 
@@ -33,6 +35,7 @@
 [[nodiscard]] Result<CrashHistory> decodeCrashHistory(std::string_view bytes);
 [[nodiscard]] Result<StartRecord> decodeStartRecord(std::string_view bytes);
 [[nodiscard]] Result<AcceptedSettings> decodeAcceptedSettings(std::string_view bytes);
+[[nodiscard]] Result<FleetProfile> decodeFleetProfile(std::string_view bytes);
 [[nodiscard]] Result<Report> decodeReport(std::string_view bytes);
 [[nodiscard]] Result<Directive> decodeDirective(std::string_view bytes);
 
--- a/src/core/batch/framing.h
+++ b/src/core/batch/framing.h
@@ -27,6 +27,7 @@
     FoldedProgress,
     StartRecord,
     AcceptedSettings,
+    FleetProfile,
 };
 
 /// All types of payloads. Releases that run side by side read each other's, so each has a sample in tests/support/formats.cpp.
@@ -40,7 +41,8 @@
                                   PayloadKind::LongSubmission,
                                   PayloadKind::FoldedProgress,
                                   PayloadKind::StartRecord,
-                                  PayloadKind::AcceptedSettings};
+                                  PayloadKind::AcceptedSettings,
+                                  PayloadKind::FleetProfile};
 
 [[nodiscard]] constexpr bool isListed(PayloadKind kind) noexcept
 {
--- a/src/core/batch/host_profiles.cpp
+++ b/src/core/batch/host_profiles.cpp
@@ -49,6 +49,9 @@
 
 constexpr double centi = 100;
 
+/// Limit for what is read from the store: a host that takes a hundred times as long.
+constexpr double maxLogSlowness = 4.6;
+
 bool isSameStep(const TaskId &left, const TaskId &right)
 {
     return std::tie(left.job_, left.occurrence_, left.step_) == std::tie(right.job_, right.occurrence_, right.step_);
@@ -215,32 +218,33 @@
     return std::sqrt(1 / (known == nullptr ? unknownPrecision : known->precision_));
 }
 
-std::map<std::string, StoredHostSpeed> HostProfiles::toStore() const
+std::vector<StoredHostSpeed> HostProfiles::toStore() const
 {
-    std::map<std::string, StoredHostSpeed> stored;
+    std::vector<StoredHostSpeed> stored;
+    stored.reserve(indexes_.size());
     for (const auto &[name, index] : indexes_) {
         const Host &host = hosts_[index];
-        stored[name] = {static_cast<std::int32_t>(std::lround(host.logSlowness_ * centi)), static_cast<std::uint32_t>(host.precision_), host.observedAt_};
+        stored.push_back(
+            {name, static_cast<std::int32_t>(std::lround(host.logSlowness_ * centi)), static_cast<std::uint32_t>(host.precision_), host.observedAt_});
     }
     return stored;
 }
 
-void HostProfiles::load(const std::map<std::string, StoredHostSpeed> &stored, CalendarTime calendar)
+void HostProfiles::load(const std::vector<StoredHostSpeed> &stored, CalendarTime calendar)
 {
-    std::multimap<CalendarTime, const std::string *, std::greater<>> newestFirst;
-    for (const auto &[name, speed] : stored) {
+    std::multimap<CalendarTime, const StoredHostSpeed *, std::greater<>> newestFirst;
+    for (const StoredHostSpeed &speed : stored) {
         if (calendar - speed.observedAt_ < maxProfileAge) {
-            newestFirst.emplace(speed.observedAt_, &name);
+            newestFirst.emplace(speed.observedAt_, &speed);
         }
     }
-    for (const auto &[observedAt, name] : newestFirst) {
-        if (hosts_.size() >= maxProfiles && !indexes_.contains(*name)) {
+    for (const auto &[observedAt, speed] : newestFirst) {
+        if (hosts_.size() >= maxProfiles && !indexes_.contains(speed->host_)) {
             break;
         }
-        const StoredHostSpeed &speed = stored.at(*name);
-        Host &host = hosts_[indexOf(*name)];
-        host.priorMean_ = static_cast<double>(speed.centiLogSlowness_) / centi;
-        host.priorPrecision_ = std::clamp(static_cast<double>(speed.precision_), unknownPrecision, maxPriorPrecision);
+        Host &host = hosts_[indexOf(speed->host_)];
+        host.priorMean_ = std::clamp(speed->centiLogSlowness_ / centi, -maxLogSlowness, maxLogSlowness);
+        host.priorPrecision_ = std::clamp<double>(speed->precision_, unknownPrecision, maxPriorPrecision);
         host.observedAt_ = std::max(host.observedAt_, observedAt);
         if (host.precision_ <= host.priorPrecision_) {
             host.logSlowness_ = host.priorMean_;
--- a/src/core/batch/host_profiles.h
+++ b/src/core/batch/host_profiles.h
@@ -14,6 +14,7 @@
 /// What is stored of a host's speed.
 struct StoredHostSpeed
 {
+    std::string host_;
     std::int32_t centiLogSlowness_ = 0; ///< hundredths of the natural logarithm of its slowness
     std::uint32_t precision_ = 0; ///< inverse of the variance of that logarithm
     CalendarTime observedAt_{}; ///< when a run there was last observed
@@ -23,7 +24,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(centiLogSlowness_, precision_, observedAt_);
+        archive(host_, centiLogSlowness_, precision_, observedAt_);
     }
 };
 
@@ -60,10 +61,10 @@
     [[nodiscard]] double errorOf(const std::string &host) const;
 
     /// Returns what is known of all hosts that were observed, for the store.
-    [[nodiscard]] std::map<std::string, StoredHostSpeed> toStore() const;
+    [[nodiscard]] std::vector<StoredHostSpeed> toStore() const;
 
     /// Takes over what former leaders have \p stored. Hosts that weren't observed within a day before \p calendar are left out.
-    void load(const std::map<std::string, StoredHostSpeed> &stored, CalendarTime calendar);
+    void load(const std::vector<StoredHostSpeed> &stored, CalendarTime calendar);
 
     /// Returns the number of samples recorded so far, which tells whether there is something new to store.
     [[nodiscard]] std::uint64_t recorded() const noexcept
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -95,6 +95,7 @@
     refreshStartRecords(cluster_);
     std::vector<LeaderOutput> outputs;
     commit(outputs);
+    storeProfile(outputs);
     acknowledgeEnds();
     sendDirectives(outputs);
     for (AdviceRequest &request : cluster_.adviceRequests_) {
@@ -261,6 +262,15 @@
     return unstoredJobs_.extract(found).mapped();
 }
 
+void Leader::handle(const FleetProfileStored &input)
+{
+    cluster_.hosts_.load(input.profile_.hosts_, cluster_.calendar_);
+    cluster_.runTimes_.load(input.profile_.queues_);
+    isProfileLoaded_ = true;
+    cluster_.logEvent("profile-loaded",
+                      {{"hosts", std::to_string(input.profile_.hosts_.size())}, {"queues", std::to_string(input.profile_.queues_.size())}});
+}
+
 void Leader::handle(const CancelStored &input)
 {
     const auto found = cluster_.jobs_.find(input.job_);
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -2,6 +2,7 @@
 
 #include "core/batch/advising.h"
 #include "core/batch/board.h"
+#include "core/batch/fleet_profile.h"
 #include "core/batch/start_record.h"
 
 #include <optional>
@@ -45,6 +46,12 @@
     AcceptedSettings record_;
 };
 
+/// The fleet profile that former leaders have stored; empty if there is none. May arrive while work is being scheduled.
+struct FleetProfileStored
+{
+    FleetProfile profile_;
+};
+
 struct CancelStored
 {
     JobId job_;
@@ -91,6 +98,7 @@
                                  CrashHistoryStored,
                                  StartRecordsStored,
                                  SettingsStored,
+                                 FleetProfileStored,
                                  CancelStored,
                                  ConfigChanged,
                                  EvacuationsChanged,
@@ -125,13 +133,19 @@
     std::vector<ProgressWrite> writes_;
 };
 
+/// Replaces the stored fleet profile, unless this leader has lost the leader's key. Best effort: the next one holds all of it again.
+struct StoreProfile
+{
+    FleetProfile profile_;
+};
+
 struct SendDirective
 {
     std::string agent_;
     Directive directive_;
 };
 
-using LeaderOutput = std::variant<AdviceRequest, Commit, SendDirective, LogEvent>;
+using LeaderOutput = std::variant<AdviceRequest, Commit, StoreProfile, SendDirective, LogEvent>;
 
 /// Number of waiting jobs by Submission::queue_.
 using WaitingJobs = std::map<std::string, std::size_t>;
@@ -179,6 +193,7 @@
     void handle(const CrashHistoryStored &input);
     void handle(const StartRecordsStored &input);
     void handle(const SettingsStored &input);
+    void handle(const FleetProfileStored &input);
     void handle(const CancelStored &input);
     void handle(ConfigChanged &&input);
     void handle(EvacuationsChanged &&input);
@@ -198,6 +213,7 @@
     void forget(const JobId &id);
     void recordRejection(const JobId &id, std::uint64_t version);
     void commit(std::vector<LeaderOutput> &outputs);
+    void storeProfile(std::vector<LeaderOutput> &outputs);
     void sendDirectives(std::vector<LeaderOutput> &outputs);
     [[nodiscard]] Directive directiveFor(const Agent &agent) const;
 
@@ -223,6 +239,9 @@
     std::vector<InFlightCommit> inFlight_; ///< at most maxCommitsInFlight; no two write the same job
     std::uint64_t lastCommit_ = 0;
     Instant retryAt_{};
+    bool isProfileLoaded_ = false; ///< until then, the store may hold a profile that knows more
+    std::uint64_t storedSamples_ = 0; ///< how many samples of hosts' speeds the last stored profile is based on
+    Instant storeProfileFrom_{}; ///< not before
 };
 
 }
--- a/src/core/batch/leader_commits.cpp
+++ b/src/core/batch/leader_commits.cpp
@@ -30,6 +30,13 @@
 /// How long the records of a job that isn't stored are kept. A write of its submission may still be carried out, also long after an outage of the store.
 constexpr std::chrono::minutes unstoredJobRetention{10};
 
+/// Shortest time between two writes of the fleet profile, and the bandwidth that they take at most.
+constexpr milliseconds profileInterval{3'000};
+constexpr std::size_t profileBytesPerSecond = 1'024;
+
+/// Size of the record of a host in the fleet profile, with a long name.
+constexpr std::size_t profileBytesPerHost = 64;
+
 /// Additional time for which a job's records are kept after callers can no longer query them.
 constexpr milliseconds removalSlack{5'000};
 
@@ -218,4 +225,17 @@
     outputs.emplace_back(std::move(commit));
 }
 
+void Leader::storeProfile(std::vector<LeaderOutput> &outputs)
+{
+    const std::uint64_t samples = cluster_.hosts_.recorded();
+    if (!isProfileLoaded_ || samples == storedSamples_ || cluster_.now_ < storeProfileFrom_ || !cluster_.mayIssueOrders()) {
+        return;
+    }
+    FleetProfile profile{cluster_.hosts_.toStore(), cluster_.runTimes_.toStore()};
+    const std::chrono::seconds pause((profile.hosts_.size() + profile.queues_.size()) * profileBytesPerHost / profileBytesPerSecond);
+    storeProfileFrom_ = cluster_.now_ + std::max<milliseconds>(profileInterval, pause);
+    storedSamples_ = samples;
+    outputs.emplace_back(StoreProfile{std::move(profile)});
+}
+
 }
--- a/src/core/batch/run_times.cpp
+++ b/src/core/batch/run_times.cpp
@@ -17,6 +17,18 @@
 /// Maximum factor by which an estimate is corrected.
 constexpr double maxCorrection = 20;
 
+/// Runs that a queue's sums count for at most; from then on, older ones count less with each new one.
+constexpr double maxCount = 500;
+
+/// Runs of former leaders count for at most this many, so that a queue whose work has changed is learned anew soon.
+constexpr double maxStoredCount = 50;
+
+/// Relative rounding error that sums may have.
+constexpr double rounding = 1e-9;
+
+/// Most queues of which run times are read.
+constexpr std::size_t maxQueues = 2'048;
+
 /// Returns the logarithm of the ratio of \p duration to the reference estimate.
 double logRatioToReference(milliseconds duration)
 {
@@ -30,6 +42,9 @@
     const double x = logRatioToReference(estimate);
     const double y = logRatioToReference(runTime) - x;
     Sums &sums = sums_[queue];
+    if (sums.count_ >= maxCount) {
+        sums.scale((maxCount - 1) / sums.count_);
+    }
     sums.count_ += 1;
     sums.x_ += x;
     sums.y_ += y;
@@ -53,4 +68,46 @@
     return milliseconds(std::max<std::int64_t>(1, std::llround(static_cast<double>(estimate.count()) * factor)));
 }
 
+std::vector<StoredRunTimes> RunTimes::toStore() const
+{
+    std::vector<StoredRunTimes> stored;
+    stored.reserve(sums_.size());
+    for (const auto &[queue, sums] : sums_) {
+        stored.push_back({queue, sums.count_, sums.x_, sums.y_, sums.xx_, sums.xy_});
+    }
+    return stored;
+}
+
+void RunTimes::load(const std::vector<StoredRunTimes> &stored)
+{
+    for (const StoredRunTimes &times : stored) {
+        Sums sums{times.count_, times.x_, times.y_, times.xx_, times.xy_};
+        if (!sums.isPlausible() || (sums_.size() >= maxQueues && !sums_.contains(times.queue_))) {
+            continue;
+        }
+        sums.scale(std::min(1.0, maxStoredCount / sums.count_));
+        Sums &known = sums_[times.queue_];
+        known.count_ += sums.count_;
+        known.x_ += sums.x_;
+        known.y_ += sums.y_;
+        known.xx_ += sums.xx_;
+        known.xy_ += sums.xy_;
+    }
+}
+
+void RunTimes::Sums::scale(double factor) noexcept
+{
+    count_ *= factor;
+    x_ *= factor;
+    y_ *= factor;
+    xx_ *= factor;
+    xy_ *= factor;
+}
+
+bool RunTimes::Sums::isPlausible() const noexcept
+{
+    const bool isFinite = std::isfinite(x_) && std::isfinite(y_) && std::isfinite(xx_) && std::isfinite(xy_);
+    return isFinite && count_ >= 1 && count_ <= maxCount && xx_ * count_ >= x_ * x_ * (1 - rounding);
+}
+
 }
--- a/src/node/keys.h
+++ b/src/node/keys.h
@@ -10,7 +10,8 @@
 
 /// Keys of all kinds of records, or how they start. Releases that run side by side read each other's records, so each kind has a sample in
 /// tests/support/formats.cpp.
-inline const std::array<std::string, 8> records{"b/m/leader", "b/m/entry/", "b/in/job/", "b/in/cancel/", "b/state/", "b/crash/", "b/start/", "b/in/settings/"};
+inline const std::array<std::string, 9> records{
+    "b/m/leader", "b/m/entry/", "b/in/job/", "b/in/cancel/", "b/state/", "b/crash/", "b/start/", "b/in/settings/", "b/profile"};
 
 /// Watched by every process: the leader and the list of entries.
 inline const std::string members = "b/m/";
@@ -33,4 +34,7 @@
 /// The settings with which jobs were accepted, apart from the jobs: releases before 0.2 take them from the configuration alone.
 inline const std::string &settings = records[7];
 
+/// What leaders have learned of the fleet. One record.
+inline const std::string &profile = records[8];
+
 }
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds watchWait{500};
 constexpr milliseconds retryDelay{150};
 
+/// Delay before the fleet profile is read again after a failure.
+constexpr milliseconds profileRetryDelay{1'000};
+
 /// Longest time between two steps of the scheduler.
 constexpr milliseconds tickInterval{100};
 
@@ -82,6 +85,9 @@
 
 }
 
+/// A call that the scheduler has asked for and doesn't wait for.
+using Aside = std::variant<batch::AdviceRequest, batch::StoreProfile>;
+
 /// One term of this entry as leader.
 struct LeaderHost::Term : std::enable_shared_from_this<LeaderHost::Term>
 {
@@ -99,7 +105,7 @@
             threads_.emplace_back([this] { writeCommits(); });
         }
         // An advice request may take longer than a handover. Its thread keeps the term object alive until it ends.
-        std::thread([self = shared_from_this()] { self->processAdviceRequests(); }).detach();
+        std::thread([self = shared_from_this()] { self->processAsides(); }).detach();
     }
 
     /// Precondition: called once, from a thread that doesn't belong to the term.
@@ -264,7 +270,8 @@
         for (batch::LeaderOutput &output : outputs) {
             std::visit(Overloaded{
                            [this](batch::Commit &&commit) { commits_.put(std::move(commit)); },
-                           [this](batch::AdviceRequest &&request) { adviceRequests_.put(std::move(request)); },
+                           [this](batch::StoreProfile &&write) { asides_.put(std::move(write)); },
+                           [this](batch::AdviceRequest &&request) { asides_.put(std::move(request)); },
                            [this](batch::SendDirective &&toSend) { owner_.sendDirective_(toSend.agent_, toSend.directive_); },
                            [this](batch::LogEvent &&event) { recordDecision(event, owner_.metrics_); },
                        },
@@ -272,13 +279,57 @@
         }
     }
 
-    void processAdviceRequests()
+    /// Carries out what no step of the scheduler waits for.
+    void processAsides()
     {
+        while (!stopping_ && !loadProfile()) {
+            std::this_thread::sleep_for(profileRetryDelay);
+            processAsides(asides_.takeAll(Duration(0)));
+        }
         while (!stopping_) {
-            for (const batch::AdviceRequest &request : adviceRequests_.takeAll(tickInterval * 10)) {
-                inputs_.put(requestAdvice(request));
+            processAsides(asides_.takeAll(tickInterval * 10));
+        }
+    }
+
+    void processAsides(const std::vector<Aside> &asides)
+    {
+        for (const Aside &aside : asides) {
+            std::visit(Overloaded{
+                           [this](const batch::AdviceRequest &request) { inputs_.put(requestAdvice(request)); },
+                           [this](const batch::StoreProfile &write) { storeProfile(write.profile_); },
+                       },
+                       aside);
+        }
+    }
+
+    /// Passes the stored fleet profile to the scheduler. Returns whether it need not be tried again: a record that this release can't read is left alone, and the
+    /// scheduler, which isn't told, doesn't replace it.
+    [[nodiscard]] bool loadProfile()
+    {
+        return tryStoreCalls("profile-load-failed", [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(item, owner_.store_.get(keys::profile, readTimeout));
+            if (!item) {
+                inputs_.put(batch::FleetProfileStored{});
+            } else if (auto profile = decodeOrLog(*item, &batch::decodeFleetProfile, "profile-unreadable")) {
+                inputs_.put(batch::FleetProfileStored{std::move(*profile)});
             }
+            return true;
+        });
+    }
+
+    void storeProfile(const batch::FleetProfile &profile) const
+    {
+        platform::Transaction transaction;
+        transaction.expected_.push_back({keys::leader, epoch_});
+        transaction.puts_.push_back({keys::profile, batch::encode(profile), 0});
+        if (isAnyTooLarge(transaction)) {
+            logEvent(LogLevel::Warning, "profile-too-large", {{"hosts", profile.hosts_.size()}, {"queues", profile.queues_.size()}});
+            return;
         }
+        (void)tryStoreCalls("profile-not-stored", [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(result, owner_.store_.apply(transaction, commitTimeout));
+            return result.applied_;
+        });
     }
 
     [[nodiscard]] batch::AdviceAnswer requestAdvice(const batch::AdviceRequest &request) const
@@ -392,7 +443,7 @@
     std::int64_t revision_ = 0;
     Mailbox<batch::LeaderInput> inputs_;
     Mailbox<batch::Commit> commits_;
-    Mailbox<batch::AdviceRequest> adviceRequests_;
+    Mailbox<Aside> asides_;
     std::mutex countMutex_;
     batch::WaitingJobs waiting_;
     Instant countedAt_{}; ///< written only by run()'s thread, with countMutex_ locked
