Work to stop for urgent work can be chosen by what its callers lose

Cause: victims are chosen by the work that they lose alone, whatever their priority and their objective. Change: yield_cost weighs priority, deadline and lost work; the setting preemption.caller_weight (default 0: as before) switches it on. The fleet profile is read and written by a thread of its own, so that requests to placement policies don't wait for it.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -25,6 +25,7 @@
     milliseconds reclaimLimit_{2'900}; ///< maximum time from a guaranteed job's acceptance to the start of its first step
     milliseconds statusRetention_{120'000};
     std::size_t maxRecordBytes_ = 1'048'576; ///< largest value that the store takes
+    double callerWeight_ = 0; ///< how much priorities and objectives of possible victims count beside the work that they lose, see costOfYielding()
     double spreadFactor_ = 3.0; ///< slowdown of a task that runs away from its data or whose gang is spread over racks
 };
 
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -6,6 +6,7 @@
 #include "core/batch/placing.h"
 #include "core/batch/racks.h"
 #include "core/batch/runs.h"
+#include "core/batch/yield_cost.h"
 
 #include <algorithm>
 #include <map>
@@ -31,15 +32,38 @@
     return step.taskDemand_.cpuMilli_ + step.taskDemand_.accelerators_ * acceleratorCpuMilli;
 }
 
+/// Returns the time by which \p run is thrown back if it is stopped.
+milliseconds lostTime(const ClusterState &cluster, const Run &run, const Step &step)
+{
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(cluster.now_ - run.startedAt_);
+    return step.checkpointable_ ? std::min(restoreCost, elapsed) : elapsed;
+}
+
 /// Returns the work that is lost if \p run, and with it its gang, is stopped, in thousandths of a core times milliseconds.
 std::int64_t lostWork(const ClusterState &cluster, const Run &run)
+{
+    const Step &step = cluster.jobs_.at(run.id_.task_.job_).submission_.steps_[run.id_.task_.step_];
+    const std::int64_t members = step.gang_ ? step.count_ : 1;
+    return cpuEquivalent(step) * members * std::max<std::int64_t>(1, lostTime(cluster, run, step).count());
+}
+
+/// Returns the time that the job of \p run has left if it goes on as expected.
+Duration slackOf(const ClusterState &cluster, const Job &job, const Run &run)
+{
+    const Step &step = job.submission_.steps_[run.id_.task_.step_];
+    const auto objective = std::chrono::duration_cast<Duration>(remainingCriticalPath(cluster, job, 0) * job.settings_.stretch_) + job.settings_.targetLatency_;
+    const Duration done = Duration(cluster.expectedTime(job, step)) * run.percent_ / 100;
+    const Duration remaining = remainingCriticalPath(cluster, job, run.id_.task_.step_) - done;
+    return job.acceptedAt_ + objective - cluster.now_ - remaining;
+}
+
+/// Returns what it costs the callers if \p run, and with it its gang, is stopped.
+std::int64_t costOfStop(const ClusterState &cluster, const Run &run)
 {
     const Job &job = cluster.jobs_.at(run.id_.task_.job_);
     const Step &step = job.submission_.steps_[run.id_.task_.step_];
-    const std::int64_t members = step.gang_ ? step.count_ : 1;
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(cluster.now_ - run.startedAt_);
-    const milliseconds lost = step.checkpointable_ ? std::min(restoreCost, elapsed) : elapsed;
-    return cpuEquivalent(step) * members * std::max<std::int64_t>(1, lost.count());
+    const YieldingWork work{job.settings_.priority_, lostWork(cluster, run), lostTime(cluster, run, step) + stopRoundTrip, slackOf(cluster, job, run)};
+    return costOfYielding(work, cluster.limits_.callerWeight_);
 }
 
 /// Returns the expected work of the waiting tasks of \p group, in the unit of lostWork().
@@ -78,6 +102,7 @@
 /// Unit of preemption on one executor: a task, or all members of a gang that run there.
 struct Victim
 {
+    std::int64_t cost_ = 0; ///< costOfStop()
     std::int64_t lostWork_ = 0;
     RunId run_; ///< any of its runs; a stop of one stops all
     bool gang_ = false;
@@ -98,13 +123,14 @@
     Executor *executor_ = nullptr;
     ResourceVector free_; ///< includes the resources of runs that are stopping or about to end
     std::uint32_t headroom_ = 0;
-    std::vector<Victim> victims_; ///< possible victims, least lost work first
+    std::vector<Victim> victims_; ///< possible victims, cheapest first
 };
 
 struct PreemptionPlan
 {
     std::vector<Incarnation> placements_;
     std::vector<RunId> victims_;
+    std::int64_t cost_ = 0; ///< to the callers of the victims
     std::int64_t lostWork_ = 0;
 };
 
@@ -138,11 +164,11 @@
         if (run.phase_ == RunPhase::Stopping || (remaining && *remaining < horizon)) {
             candidate.free_ += run.resources_;
         } else if (mayStop(group, job, step)) {
-            addVictim(candidate.victims_, {lostWork(cluster, run), id, step.gang_, run.resources_});
+            addVictim(candidate.victims_, {costOfStop(cluster, run), lostWork(cluster, run), id, step.gang_, run.resources_});
         }
     }
     std::sort(candidate.victims_.begin(), candidate.victims_.end(), [](const Victim &left, const Victim &right) {
-        return std::tie(left.lostWork_, left.run_) < std::tie(right.lostWork_, right.run_);
+        return std::tie(left.cost_, left.run_) < std::tie(right.cost_, right.run_);
     });
     return candidate;
 }
@@ -202,7 +228,7 @@
     });
 }
 
-/// Drops victims that a gang chosen later has made unnecessary, those with the most lost work first.
+/// Drops victims that a gang chosen later has made unnecessary, the dearest first.
 void dropNeedlessVictims(const std::vector<Candidate> &candidates,
                          std::vector<Victim> &victims,
                          const ResourceVector &demand,
@@ -212,7 +238,7 @@
     for (const Incarnation &incarnation : placements) {
         ++placed[incarnation.executor_];
     }
-    std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) { return left.lostWork_ > right.lostWork_; });
+    std::sort(victims.begin(), victims.end(), [](const Victim &left, const Victim &right) { return left.cost_ > right.cost_; });
     for (std::size_t at = 0; at < victims.size();) {
         std::vector<Victim> others = victims;
         others.erase(others.begin() + static_cast<std::ptrdiff_t>(at));
@@ -229,10 +255,10 @@
 {
     Candidate *candidate_ = nullptr;
     std::size_t victimCount_ = 0;
-    std::int64_t lostWork_ = 0; ///< plus the task's own work if the executor is slow
+    std::int64_t cost_ = 0; ///< of the victims, plus the task's own work if the executor is slow
 };
 
-/// Returns the option with the least lost work for \p task; its candidate is null if there is none.
+/// Returns the cheapest option for \p task; its candidate is null if there is none.
 PlacementOption cheapestOption(const ClusterState &cluster, std::vector<Candidate> &candidates, const WaitingGroup &group, std::size_t task)
 {
     const ResourceVector demand = group.job_->submission_.steps_[group.group_.step_].countedDemand();
@@ -244,12 +270,12 @@
         if (!count) {
             continue;
         }
-        std::int64_t lost = isSlowForUrgent(cluster, *candidate.executor_) ? slowCost : 0;
+        std::int64_t cost = isSlowForUrgent(cluster, *candidate.executor_) ? slowCost : 0;
         for (std::size_t at = 0; at < *count; ++at) {
-            lost += candidate.victims_[at].lostWork_;
+            cost += candidate.victims_[at].cost_;
         }
-        if (best.candidate_ == nullptr || lost < best.lostWork_) {
-            best = {&candidate, *count, lost};
+        if (best.candidate_ == nullptr || cost < best.cost_) {
+            best = {&candidate, *count, cost};
         }
     }
     return best;
@@ -275,12 +301,13 @@
     dropNeedlessVictims(candidates, victims, demand, plan.placements_);
     for (const Victim &victim : victims) {
         plan.victims_.push_back(victim.run_);
+        plan.cost_ += victim.cost_;
         plan.lostWork_ += victim.lostWork_;
     }
     return plan;
 }
 
-/// Returns the plan that loses the least work on one of the racks where \p group runs at full speed, or std::nullopt if there is none.
+/// Returns the cheapest plan on one of the racks where \p group runs at full speed, or std::nullopt if there is none.
 std::optional<PreemptionPlan> cheapestRackLocalPlan(const ClusterState &cluster, const std::vector<Candidate> &candidates, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
@@ -293,14 +320,14 @@
     std::optional<PreemptionPlan> best;
     for (const auto &[rack, rackCandidates] : racks) {
         auto plan = planPreemption(cluster, rackCandidates, group);
-        if (plan && (!best || plan->lostWork_ < best->lostWork_)) {
+        if (plan && (!best || plan->cost_ < best->cost_)) {
             best = std::move(plan);
         }
     }
     return best;
 }
 
-/// Returns the cheapest plan. Compares the work lost by a rack-local plan with the time that the group would lose on other racks. A group that
+/// Returns the cheapest plan. Compares the cost of a rack-local plan with the time that the group would lose on other racks. A group that
 /// isn't guaranteed uses other racks only after it has waited for its rack.
 std::optional<PreemptionPlan> cheapestPlan(const ClusterState &cluster, const std::vector<Candidate> &candidates, const WaitingGroup &group)
 {
@@ -314,7 +341,7 @@
     }
     auto rackLocal = cheapestRackLocalPlan(cluster, candidates, group);
     const auto slowdownCost = static_cast<std::int64_t>(static_cast<double>(groupWork(cluster, group)) * (cluster.limits_.spreadFactor_ - 1));
-    const bool isWorthwhile = rackLocal && (!anyRack || rackLocal->lostWork_ <= anyRack->lostWork_ + slowdownCost);
+    const bool isWorthwhile = rackLocal && (!anyRack || rackLocal->cost_ <= anyRack->cost_ + slowdownCost);
     return isWorthwhile ? rackLocal : anyRack;
 }
 
@@ -350,6 +377,7 @@
                      {{"job", job.submission_.id_.str()},
                       {"victims", std::to_string(plan->victims_.size())},
                       {"guaranteed", group.guaranteed_ ? "yes" : "no"},
+                      {"cost", std::to_string(plan->cost_)},
                       {"lost", std::to_string(plan->lostWork_)}});
     for (const RunId &victim : plan->victims_) {
         stopRun(cluster, victim, "preempted");
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -40,6 +40,7 @@
     limits.statusRetention_ = settings.statusRetention_;
     limits.maxRecordBytes_ = settings.maxValueBytes_;
     limits.spreadFactor_ = settings.spreadFactor_;
+    limits.callerWeight_ = settings.callerWeight_;
     return limits;
 }
 
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -85,9 +85,6 @@
 
 }
 
-/// A call that the scheduler has asked for and doesn't wait for.
-using Aside = std::variant<batch::AdviceRequest, batch::StoreProfile>;
-
 /// One term of this entry as leader.
 struct LeaderHost::Term : std::enable_shared_from_this<LeaderHost::Term>
 {
@@ -104,8 +101,9 @@
         for (std::size_t writer = 0; writer < batch::maxCommitsInFlight; ++writer) {
             threads_.emplace_back([this] { writeCommits(); });
         }
-        // An advice request may take longer than a handover. Its thread keeps the term object alive until it ends.
-        std::thread([self = shared_from_this()] { self->processAsides(); }).detach();
+        // An advice request and a call about the profile may take longer than a handover. Their threads keep the term object alive until they end.
+        std::thread([self = shared_from_this()] { self->processAdviceRequests(); }).detach();
+        std::thread([self = shared_from_this()] { self->keepProfile(); }).detach();
     }
 
     /// Precondition: called once, from a thread that doesn't belong to the term.
@@ -270,8 +268,8 @@
         for (batch::LeaderOutput &output : outputs) {
             std::visit(Overloaded{
                            [this](batch::Commit &&commit) { commits_.put(std::move(commit)); },
-                           [this](batch::StoreProfile &&write) { asides_.put(std::move(write)); },
-                           [this](batch::AdviceRequest &&request) { asides_.put(std::move(request)); },
+                           [this](batch::StoreProfile &&write) { profileWrites_.put(std::move(write)); },
+                           [this](batch::AdviceRequest &&request) { adviceRequests_.put(std::move(request)); },
                            [this](batch::SendDirective &&toSend) { owner_.sendDirective_(toSend.agent_, toSend.directive_); },
                            [this](batch::LogEvent &&event) { recordDecision(event, owner_.metrics_); },
                        },
@@ -279,26 +277,26 @@
         }
     }
 
-    /// Carries out what no step of the scheduler waits for.
-    void processAsides()
+    void processAdviceRequests()
     {
-        while (!stopping_ && !loadProfile()) {
-            std::this_thread::sleep_for(profileRetryDelay);
-            processAsides(asides_.takeAll(Duration(0)));
-        }
         while (!stopping_) {
-            processAsides(asides_.takeAll(tickInterval * 10));
+            for (const batch::AdviceRequest &request : adviceRequests_.takeAll(tickInterval * 10)) {
+                inputs_.put(requestAdvice(request));
+            }
         }
     }
 
-    void processAsides(const std::vector<Aside> &asides)
+    /// Reads the fleet profile once, then writes what the scheduler has learned. No step of the scheduler waits for either.
+    void keepProfile()
     {
-        for (const Aside &aside : asides) {
-            std::visit(Overloaded{
-                           [this](const batch::AdviceRequest &request) { inputs_.put(requestAdvice(request)); },
-                           [this](const batch::StoreProfile &write) { storeProfile(write.profile_); },
-                       },
-                       aside);
+        while (!stopping_ && !loadProfile()) {
+            std::this_thread::sleep_for(profileRetryDelay);
+        }
+        while (!stopping_) {
+            const std::vector<batch::StoreProfile> writes = profileWrites_.takeAll(tickInterval * 10);
+            if (!writes.empty()) {
+                storeProfile(writes.back().profile_);
+            }
         }
     }
 
@@ -443,7 +441,8 @@
     std::int64_t revision_ = 0;
     Mailbox<batch::LeaderInput> inputs_;
     Mailbox<batch::Commit> commits_;
-    Mailbox<Aside> asides_;
+    Mailbox<batch::AdviceRequest> adviceRequests_;
+    Mailbox<batch::StoreProfile> profileWrites_;
     std::mutex countMutex_;
     batch::WaitingJobs waiting_;
     Instant countedAt_{}; ///< written only by run()'s thread, with countMutex_ locked
