A job that this release can't read is left alone with all its records

Cause: decodeInput dropped a job that it couldn't decode, so that its crash history, start record, settings or cancellation looked like those of a job that isn't stored, and Leader::commit deleted the job of a later release together with them. Change: the input JobUnreadable; the leader keeps the job's id, logs job-unreadable once with the reason, and takes nothing of it for an orphan. Tests: recordsOfAJobThatCanNotBeReadAreKept and jobFoundUnreadableAfterItsRecordsIsKept (batch_commit_test); both were red with the input and without the guard in removeOrphan() and handle(JobUnreadable): a commit that removes the job was pending. Green with it.

--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -180,6 +180,14 @@
     }
 }
 
+void Leader::handle(const JobUnreadable &input)
+{
+    orphans_.erase(input.job_);
+    if (unreadableJobs_.insert(input.job_).second) {
+        cluster_.logEvent("job-unreadable", {{"job", input.job_.str()}, {"reason", input.reason_}});
+    }
+}
+
 void Leader::handle(ProgressStored &&input)
 {
     const auto found = cluster_.jobs_.find(input.progress_.id_);
@@ -228,7 +236,7 @@
 {
     const auto job = cluster_.jobs_.find(input.history_.id_);
     if (job == cluster_.jobs_.end()) {
-        orphans_.insert(input.history_.id_);
+        removeOrphan(input.history_.id_);
         return;
     }
     loadCrashHistory(cluster_, job->second, input.history_);
@@ -237,7 +245,7 @@
 void Leader::handle(const StartRecordsStored &input)
 {
     for (const JobId &id : loadStartRecords(cluster_, input.records_)) {
-        orphans_.insert(id);
+        removeOrphan(id);
     }
 }
 
--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -21,6 +21,13 @@
     Submission submission_;
 };
 
+/// A job is stored that this release can't read, as a later one has written it. Its records are left alone.
+struct JobUnreadable
+{
+    JobId job_;
+    std::string reason_; ///< for the log
+};
+
 /// The stored progress of a job; received after its JobStored, while a new leader loads the store.
 struct ProgressStored
 {
@@ -94,6 +101,7 @@
 
 using LeaderInput = std::variant<AdviceAnswer,
                                  JobStored,
+                                 JobUnreadable,
                                  ProgressStored,
                                  CrashHistoryStored,
                                  StartRecordsStored,
@@ -189,6 +197,7 @@
     };
 
     void handle(JobStored &&input);
+    void handle(const JobUnreadable &input);
     void handle(ProgressStored &&input);
     void handle(const CrashHistoryStored &input);
     void handle(const StartRecordsStored &input);
@@ -209,6 +218,9 @@
     void acknowledgeEnds();
     void markExpiredJobs();
     void removeRecordsOfUnstoredJobs();
+
+    /// Has the records of a job that isn't stored deleted, unless it is stored in a form that this release can't read.
+    void removeOrphan(const JobId &id);
     [[nodiscard]] UnstoredJob takeUnstored(const JobId &id);
     void forget(const JobId &id);
     void recordRejection(const JobId &id, std::uint64_t version);
@@ -235,6 +247,7 @@
     ClusterState cluster_;
     std::map<JobId, UnstoredJob> unstoredJobs_; ///< jobs that aren't stored, or not yet
     std::set<JobId> orphans_; ///< jobs that aren't stored, or were removed by a release that doesn't know all kinds of records, and have records to delete
+    std::set<JobId> unreadableJobs_; ///< stored, but not known to this release
     std::set<JobId> writtenAlone_; ///< jobs of a rejected commit: until it is stored, each is written by itself, so that the cause holds up no other
     std::vector<InFlightCommit> inFlight_; ///< at most maxCommitsInFlight; no two write the same job
     std::uint64_t lastCommit_ = 0;
--- a/src/core/batch/leader_commits.cpp
+++ b/src/core/batch/leader_commits.cpp
@@ -147,12 +147,19 @@
     std::erase_if(unstoredJobs_, [this](const auto &entry) {
         const bool isExpired = cluster_.now_ - entry.second.heardOfAt_ > unstoredJobRetention;
         if (isExpired) {
-            orphans_.insert(entry.first);
+            removeOrphan(entry.first);
         }
         return isExpired;
     });
 }
 
+void Leader::removeOrphan(const JobId &id)
+{
+    if (!unreadableJobs_.contains(id)) {
+        orphans_.insert(id);
+    }
+}
+
 std::set<JobId> Leader::jobsInFlight() const
 {
     std::set<JobId> jobs;
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -63,7 +63,21 @@
         []() -> std::optional<Value> { return std::nullopt; });
 }
 
-/// Converts a job, its settings or a cancellation to an input. Returns nothing for removed keys, other keys and jobs that can't be decoded.
+batch::LeaderInput decodeJob(const platform::Item &item)
+{
+    const auto unreadable = [&item](const char *reason) {
+        return batch::LeaderInput(batch::JobUnreadable{JobId(jobIdFromKey(item.key_, keys::jobs)), reason});
+    };
+    return leaf::try_handle_all(
+        [&]() -> Result<batch::LeaderInput> {
+            BOOST_LEAF_AUTO(submission, batch::decodeSubmission(item.value_));
+            return batch::LeaderInput(batch::JobStored{std::move(submission)});
+        },
+        [&](const WireError &error) { return unreadable(toString(error.code_)); },
+        [&] { return unreadable("unknown"); });
+}
+
+/// Converts a job, its settings or a cancellation to an input. Returns nothing for removed keys, other keys and settings that can't be decoded.
 std::optional<batch::LeaderInput> decodeInput(const platform::Item &item)
 {
     if (item.removed_) {
@@ -79,8 +93,7 @@
     if (!item.key_.starts_with(keys::jobs)) {
         return std::nullopt;
     }
-    auto submission = decodeOrLog(item, &batch::decodeSubmission, "job-unreadable");
-    return submission ? std::optional<batch::LeaderInput>(batch::JobStored{std::move(*submission)}) : std::nullopt;
+    return decodeJob(item);
 }
 
 }
--- a/tests/unit/batch_commit_test.cpp
+++ b/tests/unit/batch_commit_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(failedCommitIsRepeatedBesideOthers);
     CPPUNIT_TEST(cancellationOfAJobThatIsNotStoredIsRemovedAtLast);
     CPPUNIT_TEST(jobThatIsStoredAfterItsCancellationIsNotStarted);
+    CPPUNIT_TEST(recordsOfAJobThatCanNotBeReadAreKept);
+    CPPUNIT_TEST(jobFoundUnreadableAfterItsRecordsIsKept);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +90,34 @@
         CPPUNIT_ASSERT(bench.pendingCommits()[0].writes_.at(0).remove_);
     }
 
+    /// Its crash history, start record, settings and cancellation look like those of a job that isn't stored; the job was deleted with them.
+    void recordsOfAJobThatCanNotBeReadAreKept()
+    {
+        LeaderBench bench(1);
+        bench.storeIsSlow_ = true;
+        const JobId id("later");
+        bench.step({batch::JobUnreadable{id, "version"},
+                    batch::JobUnreadable{id, "version"},
+                    batch::SettingsStored{{id, {}}},
+                    batch::CrashHistoryStored{{id, {}}},
+                    batch::StartRecordsStored{{{batch::StartRecord{id, {}, {}}, Duration(0)}}},
+                    batch::CancelStored{id}});
+        bench.advanceTime(11min);
+        CPPUNIT_ASSERT(bench.pendingCommits().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.logged("job-unreadable").size());
+    }
+
+    void jobFoundUnreadableAfterItsRecordsIsKept()
+    {
+        LeaderBench bench(1);
+        bench.storeIsSlow_ = true;
+        const JobId id("later");
+        bench.step({batch::CancelStored{id}});
+        bench.step({batch::JobUnreadable{id, "version"}});
+        bench.advanceTime(11min);
+        CPPUNIT_ASSERT(bench.pendingCommits().empty());
+    }
+
     /// A release that doesn't look for a cancellation may store it.
     void jobThatIsStoredAfterItsCancellationIsNotStarted()
     {
