Ends of jobs are stored before other changes, and urgent jobs before others

Cause: jobsToWrite() took the changed jobs in the order of their IDs, five a commit, so that after an outage of the store an end that a caller waits for was stored behind the changes of others. Change: ends first, then other changes, each by priority, removals last; among equals in the order of IDs as before. Test: recordsThatCallersWaitForAreWrittenFirst (batch_commit_test), red on the order of IDs, green with the change.

--- a/src/core/batch/leader.h
+++ b/src/core/batch/leader.h
@@ -232,7 +232,7 @@
     /// Returns the jobs that commits in flight write.
     [[nodiscard]] std::set<JobId> jobsInFlight() const;
 
-    /// Returns the jobs that the next commit writes: one of writtenAlone_, or others together.
+    /// Returns the jobs that the next commit writes: one of writtenAlone_, or others together, first those that callers wait for.
     [[nodiscard]] std::vector<JobId> jobsToWrite() const;
 
     /// A commit that the store hasn't answered yet.
--- a/src/core/batch/leader_commits.cpp
+++ b/src/core/batch/leader_commits.cpp
@@ -5,6 +5,7 @@
 #include "core/batch/runs.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bergamotwick::batch {
 
@@ -40,6 +41,12 @@
 /// Additional time for which a job's records are kept after callers can no longer query them.
 constexpr milliseconds removalSlack{5'000};
 
+/// Returns what orders the writes of jobs. Callers wait for ends; a start waits for its record, and urgent ones wait least.
+auto writeOrderOf(const Job &job)
+{
+    return std::tuple(job.removing_, !isFinal(job.progress_.state_), job.settings_.priority_);
+}
+
 }
 
 void Leader::handle(const CommitDone &input)
@@ -181,16 +188,20 @@
             return {id};
         }
     }
+    std::vector<const std::pair<const JobId, Job> *> due;
+    for (const auto &entry : cluster_.jobs_) {
+        if (isDue(entry.first, entry.second)) {
+            due.push_back(&entry);
+        }
+    }
+    std::stable_sort(due.begin(), due.end(), [](const auto *first, const auto *second) { return writeOrderOf(first->second) < writeOrderOf(second->second); });
     std::vector<JobId> jobs;
     std::size_t operations = 1;
-    for (const auto &[id, job] : cluster_.jobs_) {
-        if (jobs.size() == maxWritesPerCommit) {
-            break;
-        }
-        const std::size_t added = job.removing_ ? operationsPerRemoval : operationsPerWrite;
-        if (isDue(id, job) && operations + added <= maxOperationsPerCommit) {
+    for (const auto *entry : due) {
+        const std::size_t added = entry->second.removing_ ? operationsPerRemoval : operationsPerWrite;
+        if (jobs.size() < maxWritesPerCommit && operations + added <= maxOperationsPerCommit) {
             operations += added;
-            jobs.push_back(id);
+            jobs.push_back(entry->first);
         }
     }
     return jobs;
--- a/tests/unit/batch_commit_test.cpp
+++ b/tests/unit/batch_commit_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(failedCommitIsRepeatedBesideOthers);
     CPPUNIT_TEST(cancellationOfAJobThatIsNotStoredIsRemovedAtLast);
     CPPUNIT_TEST(jobThatIsStoredAfterItsCancellationIsNotStarted);
+    CPPUNIT_TEST(recordsThatCallersWaitForAreWrittenFirst);
     CPPUNIT_TEST(recordsOfAJobThatCanNotBeReadAreKept);
     CPPUNIT_TEST(jobFoundUnreadableAfterItsRecordsIsKept);
     CPPUNIT_TEST_SUITE_END();
@@ -90,6 +91,31 @@
         CPPUNIT_ASSERT(bench.pendingCommits()[0].writes_.at(0).remove_);
     }
 
+    /// After an outage, the end of an urgent job was written behind the changes of others, in the order of their IDs.
+    void recordsThatCallersWaitForAreWrittenFirst()
+    {
+        LeaderBench bench(3);
+        const auto ended = bench.submitAndStart(makeJob("y-ended", 1, oneAccelerator, 10s));
+        const auto endedUrgent = bench.submitAndStart(urgentJob("z-ended-urgent", 1, oneAccelerator, 10s));
+        bench.storeIsSlow_ = true;
+        for (std::size_t number = 0; number < batch::maxCommitsInFlight; ++number) {
+            bench.submit(makeJob("in-flight-" + std::to_string(number), 1, oneAccelerator, 10s));
+        }
+        for (std::size_t number = 0; number < 6; ++number) {
+            bench.submit(makeJob("a-" + std::to_string(number), 1, oneAccelerator, 10s));
+        }
+        bench.submit(urgentJob("x-urgent", 1, oneAccelerator, 10s));
+        bench.endRun(ended.at(0), batch::EndKind::Done);
+        bench.endRun(endedUrgent.at(0), batch::EndKind::Done);
+        bench.advanceTime(100ms);
+        bench.answerCommit(0, true);
+        std::vector<std::string> written;
+        for (const batch::ProgressWrite &write : bench.pendingCommits().back().writes_) {
+            written.push_back(write.job_.str());
+        }
+        CPPUNIT_ASSERT(written == std::vector<std::string>({"z-ended-urgent", "y-ended", "x-urgent", "a-0", "a-1"}));
+    }
+
     /// Its crash history, start record, settings and cancellation look like those of a job that isn't stored; the job was deleted with them.
     void recordsOfAJobThatCanNotBeReadAreKept()
     {
