A call that the store doesn't serve goes on to the next entry at once

Change: an entry tries a forwarded call once and answers 503, or 504 if a write may be carried out; the caller's entry then asks the next one, up to three in a call's first round and one in each later round, 0.16 s apart (0.08 s before: a round now calls two stores). A hand-in that one entry may have stored is answered 504, whatever later entries refuse. A forwarded call doesn't outlast its caller's timeout.

--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -23,7 +23,9 @@
 /// The answer is sent this long before the caller's deadline, so that it arrives in time.
 constexpr milliseconds answerMargin{150};
 constexpr milliseconds storeCallTimeout{800};
-constexpr milliseconds retryDelay{80};
+
+/// Pause between two rounds in which this entry's store is called, and that of one other entry.
+constexpr milliseconds retryDelay{160};
 
 /// With this delay a caller's usual number of retries outlasts most outages of the store.
 constexpr std::chrono::seconds unavailableRetryAfter{2};
@@ -50,6 +52,12 @@
     return "read";
 }
 
+/// Returns until when a call that arrived at \p receivedAt is served.
+Instant deadlineOf(const platform::Call &call, Instant receivedAt)
+{
+    return receivedAt + (call.timeout_.count() > 0 ? call.timeout_ : defaultCallerTimeout) - answerMargin;
+}
+
 Answer answerWithStatus(int status)
 {
     return {status, "{}", status == platform::statusUnavailable ? unavailableRetryAfter : std::chrono::seconds(0)};
@@ -151,15 +159,16 @@
 
 Answer JobService::serveOrForward(const platform::Call &call)
 {
+    const Instant deadline = deadlineOf(call, bootNow());
     Answer answer = serve(call);
     if (answer.status_ != platform::statusUnavailable) {
         return answer;
     }
-    const Forwarded forwarded = forwarder_.forward(call);
-    if (!forwarded.answer_ && forwarded.mayBeServed_ && call.method_ == platform::CallMethod::Submit) {
+    const Forwarded forwarded = forwarder_.forward(call, deadline);
+    if (!forwarded.isServed() && forwarded.mayBeServed_ && call.method_ == platform::CallMethod::Submit) {
         return answerWithStatus(platform::statusTimeout); // a refusal would say that the job never runs
     }
-    return forwarded.answer_ && forwarded.answer_->status_ != platform::statusUnavailable ? *forwarded.answer_ : answer;
+    return forwarded.answer_.value_or(answer);
 }
 
 Answer JobService::serve(const platform::Call &call)
@@ -182,9 +191,8 @@
         request.workspace_ = workspace->name_;
     }
     request.id_ = call.path_.substr(request.queue_->prefix_.size());
-    const milliseconds callerTimeout = call.timeout_.count() > 0 ? call.timeout_ : defaultCallerTimeout;
     request.receivedAt_ = bootNow();
-    request.deadline_ = request.receivedAt_ + callerTimeout - answerMargin;
+    request.deadline_ = deadlineOf(call, request.receivedAt_);
     if (request.id_.empty() && call.method_ == platform::CallMethod::Read) {
         return readWaitingCount(request, call);
     }
@@ -245,7 +253,7 @@
     const batch::AcceptedSettings settings{submission.id_, *request.queue_};
     transaction.puts_ = {{key, record, 0}, {keys::settings + request.id_, batch::encode(settings), 0}};
     bool mayBeStored = false;
-    do {
+    for (std::size_t round = 0; round == 0 || request.remaining().count() > 0; ++round) {
         const int status = leaf::try_handle_all(
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(result, store_.apply(transaction, request.timeout()));
@@ -276,18 +284,21 @@
         if (status != 0) {
             return answerWithStatus(status);
         }
-        if (auto elsewhere = askOtherEntry(call)) {
+        if (call.forwarded_) {
+            break; // the entry that was called asks the next one
+        }
+        if (auto elsewhere = askOtherEntries(request, call, round)) {
             return *elsewhere;
         }
         std::this_thread::sleep_for(retryDelay);
-    } while (request.remaining().count() > 0);
+    }
     return answerWithStatus(platform::statusTimeout);
 }
 
 Answer JobService::cancel(const Request &request, const platform::Call &call)
 {
     const std::string job = keys::jobs + request.id_;
-    do {
+    for (std::size_t round = 0; round == 0 || request.remaining().count() > 0; ++round) {
         const int status = leaf::try_handle_all(
             [&]() -> Result<int> {
                 BOOST_LEAF_AUTO(found, store_.get(job, request.timeout()));
@@ -309,24 +320,26 @@
         if (status != 0) {
             return answerWithStatus(status);
         }
-        if (auto elsewhere = askOtherEntry(call)) {
+        if (call.forwarded_) {
+            break; // as a cancel may be repeated, it isn't told whether it may be stored
+        }
+        if (auto elsewhere = askOtherEntries(request, call, round)) {
             return *elsewhere;
         }
         std::this_thread::sleep_for(retryDelay);
-    } while (request.remaining().count() > 0);
+    }
     return answerWithStatus(platform::statusTimeout);
 }
 
-std::optional<Answer> JobService::askOtherEntry(const platform::Call &call)
+std::optional<Answer> JobService::askOtherEntries(const Request &request, const platform::Call &call, std::size_t round)
 {
-    auto answer = forwarder_.forward(call).answer_;
-    const bool served = answer && (answer->status_ == platform::statusOk || answer->status_ == platform::statusGone);
-    return served ? std::move(answer) : std::nullopt;
+    Forwarded forwarded = round == 0 ? forwarder_.forward(call, request.deadline_) : forwarder_.forward(call, request.deadline_, 1);
+    return forwarded.isServed() ? std::move(forwarded.answer_) : std::nullopt;
 }
 
 Answer JobService::readState(const Request &request, const platform::Call &call)
 {
-    do {
+    for (std::size_t round = 0; round == 0 || request.remaining().count() > 0; ++round) {
         Answer answer = leaf::try_handle_all(
             [&]() -> Result<Answer> {
                 BOOST_LEAF_AUTO(record, store_.get(keys::progress + request.id_, request.timeout()));
@@ -352,11 +365,14 @@
         if (answer.status_ != 0) {
             return answer;
         }
-        if (auto elsewhere = askOtherEntry(call)) {
+        if (call.forwarded_) {
+            break;
+        }
+        if (auto elsewhere = askOtherEntries(request, call, round)) {
             return *elsewhere;
         }
         std::this_thread::sleep_for(retryDelay);
-    } while (request.remaining().count() > 0);
+    }
     return answerWithStatus(platform::statusUnavailable);
 }
 
--- a/src/node/job_service.h
+++ b/src/node/job_service.h
@@ -64,9 +64,9 @@
     [[nodiscard]] platform::Answer cancel(const Request &request, const platform::Call &call);
     [[nodiscard]] platform::Answer readState(const Request &request, const platform::Call &call);
 
-    /// Forwards a call about a job that the store did not serve here. Returns the answer if the store served the other entry, otherwise
-    /// nothing: the other entry's configuration may be older, so that what it rejects counts for nothing.
-    [[nodiscard]] std::optional<platform::Answer> askOtherEntry(const platform::Call &call);
+    /// Forwards a call that the store did not serve here to some other entries: in a \p round after the first to one of them. Returns the answer if the store
+    /// served another entry, otherwise nothing: the other entry's configuration may be older, so that what it rejects counts for nothing.
+    [[nodiscard]] std::optional<platform::Answer> askOtherEntries(const Request &request, const platform::Call &call, std::size_t round);
     [[nodiscard]] platform::Answer readWaitingCount(const Request &request, const platform::Call &call);
 
     platform::StoreClient &store_;
--- a/tests/process/job_service_test.cpp
+++ b/tests/process/job_service_test.cpp
@@ -68,6 +68,9 @@
     CPPUNIT_TEST(cancelledJobIsNotStoredByALateWrite);
     CPPUNIT_TEST(storedJobIsAcceptedAgainAfterItsCancel);
     CPPUNIT_TEST(settingsOfTheQueueAreStoredWithTheJob);
+    CPPUNIT_TEST(callGoesOnToTheNextEntryAtOnce);
+    CPPUNIT_TEST(submissionGoesOnToTheNextEntry);
+    CPPUNIT_TEST(submissionThatAnEntryMayStoreIsNotRefusedByTheNext);
     CPPUNIT_TEST(submissionThatAnotherEntryMayStoreIsNotRefused);
     CPPUNIT_TEST(submissionThatNoOtherEntryGotIsRefused);
     CPPUNIT_TEST(submissionThatCanNotBeKeptIsRefusedWithItsReason);
@@ -161,6 +164,36 @@
         CPPUNIT_ASSERT(record.settings_ == (batch::QueueSettings{ServiceId("service"), 1, 3, 3, std::chrono::seconds(1), std::nullopt}));
     }
 
+    /// An entry that the store turned away as well tried for 0.8 s before the next one was asked.
+    void callGoesOnToTheNextEntryAtOnce()
+    {
+        const Three entries(*this, awayStore_);
+        store_.put(node::keys::jobs + jobId, "job");
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entries.cut_.service_.answer(call(platform::CallMethod::Read)).status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, awayStore_.requestCount());
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entries.cut_.service_.answer(call(platform::CallMethod::Cancel)).status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, awayStore_.requestCount()); // the served entry is asked first now
+    }
+
+    void submissionGoesOnToTheNextEntry()
+    {
+        const Three entries(*this, awayStore_);
+        CPPUNIT_ASSERT_EQUAL(platform::statusOk, entries.cut_.service_.answer(submission()).status_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.values(node::keys::jobs).size());
+    }
+
+    /// A refusal says that the job never runs, but the first entry's write may be carried out.
+    void submissionThatAnEntryMayStoreIsNotRefusedByTheNext()
+    {
+        soak::StoreStandIn lossyStore(3);
+        lossyStore.put("op/config", operatorConfig);
+        soak::StoreFaults late;
+        late.delayedWriteRate_ = 1;
+        lossyStore.setFaults(late);
+        const Three entries(*this, lossyStore, &awayStore_);
+        CPPUNIT_ASSERT_EQUAL(platform::statusTimeout, entries.cut_.service_.answer(submission()).status_);
+    }
+
     void submissionThatAnotherEntryMayStoreIsNotRefused()
     {
         const Socket frozenEntry = value(listenTcp(*Address::parse("127.0.0.1:0"))); // its connections are never served
@@ -257,6 +290,39 @@
         node::ForwardListener *listener_ = nullptr; ///< never deleted: its thread runs until the process ends
     };
 
+    /// An entry that the store turns away, and two others: "first" is served by \p firstStore and "second" by \p secondStore, or by the sound one.
+    struct Three
+    {
+        Three(JobServiceTest &test, soak::StoreStandIn &firstStore, soak::StoreStandIn *secondStore = nullptr)
+            : firstAddress_(freeAddress())
+            , secondAddress_(freeAddress())
+            , first_("first", test.store_, firstStore, [] { return node::Members(); })
+            , second_("second", test.store_, secondStore != nullptr ? *secondStore : test.store_, [] { return node::Members(); })
+            , cut_("cut", test.store_, test.awayStore_, [this] { return members(); })
+        {
+            for (const auto &[address, entry] : {std::pair{firstAddress_, &first_}, std::pair{secondAddress_, &second_}}) {
+                // never deleted: its thread runs until the process ends
+                auto *listener
+                    = new node::ForwardListener(address, [served = entry](const platform::Call &forwarded) { return served->service_.answer(forwarded); });
+                CPPUNIT_ASSERT(static_cast<bool>(listener->start()));
+            }
+        }
+
+        [[nodiscard]] node::Members members() const
+        {
+            const auto agentAddress = [](const Address &address) { return address.withPort(static_cast<std::uint16_t>(address.port() - 1)); };
+            node::Members members;
+            members.entries_ = {{"first", agentAddress(firstAddress_)}, {"second", agentAddress(secondAddress_)}};
+            return members;
+        }
+
+        Address firstAddress_;
+        Address secondAddress_;
+        Entry first_;
+        Entry second_;
+        mutable Entry cut_;
+    };
+
     /// The cut entry asks its store once before it forwards a call. It repeats both only if the other entry answers too late.
     void requireOneStoreCallPerForwardedCall(const Pair &entries)
     {
