Executors that fail what they start are known from few failures; last attempts go to proven ones

Change: a run proves its executor only if it started after the last failure there, within 10 s, and shows progress or success. Several runs of a job that fail soon after their start condemn the executor once the job progresses elsewhere. Retries prefer proven executors and wait for them by attempts used. Gangs of at most two attempts avoid suspect executors at first.

Tests: batch_attempts_test.cpp; on the code before, onlyPoisonedJobIsGivenUp ("wide is failed"), successOfEarlierStartProvesNothing and failuresOfOneJobCondemnExecutorOnceItProgressesElsewhere fail; failuresOfPoisonedJobCondemnNoExecutor holds before and after. batch_retry_test.cpp: lastAttemptUsesExecutorWithRecentSuccess expected the second of three attempts on an executor without proof; the second attempt now uses a proven one as well, so that it is replaced by retriesUseExecutorsWithRecentSuccess, which pins all three places with two proven executors.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -115,9 +115,9 @@
     std::int64_t acknowledged_ = 0;
     std::optional<std::int64_t> firstIgnoredEnd_; ///< number of the first end in the last report that isn't acted on yet
     std::vector<RunId> orphans_; ///< runs that it lists without a matching record
-    std::set<JobId> failedJobs_; ///< jobs with a failure here since the last successful task
+    std::map<JobId, std::size_t> failedJobs_; ///< jobs with a failure here since the last proof, and how many of their runs failed soon after their start
     Instant failedAt_{}; ///< when a task last failed here
-    Instant succeededAt_{}; ///< when a task last succeeded here
+    Instant provenBy_{}; ///< start of the latest run that showed progress or success here
     Instant quarantinedUntil_{};
 
     /// Returns the rack named by the executor's labels, or an empty string.
@@ -151,6 +151,7 @@
     std::uint32_t lateMoves_ = 0; ///< how often its gang has been stopped to run on faster hosts
     std::map<std::size_t, std::size_t> stalls_; ///< by first task that starts together: how many runs have been stopped as stalled
     std::map<std::size_t, Instant> waitingSince_; ///< by first task of each group that waits for executors
+    std::map<std::size_t, Instant> failedAt_; ///< by task index: when its last failure became known to this leader
     std::set<std::size_t> reportedHolds_; ///< first tasks of groups whose executor holds have been logged; each is logged once
     bool isFolded_ = false; ///< its progress is stored as FoldedProgress
     bool cancelled_ = false; ///< also if it had failed before
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -47,6 +47,7 @@
         , group_(group)
         , isolates_(!group.job_->crashes_.empty() && !mayStartUnisolated(cluster, group))
     {
+        const bool ranksProof = prefersProven(group);
         for (const Executor *executor : executors) {
             ResourceVector free = freeResources(cluster, *executor, group);
             free += resourcesOfRuns(cluster, *executor, group);
@@ -54,6 +55,7 @@
                                    free,
                                    antiAffinityHeadroom(*executor, group),
                                    isSuspect(cluster, *executor),
+                                   ranksProof && isProven(cluster, *executor),
                                    hosts.fitOf(*executor),
                                    group.job_->settings_.priority_ == 0 && isSlowForUrgent(cluster, *executor),
                                    isolates_ && isSettled(cluster, *executor),
@@ -62,7 +64,8 @@
     }
 
     /// Allocates resources for \p task and returns the executor, or a null pointer if the task fits nowhere. Prefers executors that aren't
-    /// suspect, then those on \p rack, then those whose host suits the group best, then (for urgent work) those that aren't slow, then the fullest.
+    /// suspect, then (for retries and gangs with few attempts) proven ones, then those on \p rack, then those whose host suits the group best, then (for urgent
+    /// work) those that aren't slow, then the fullest.
     [[nodiscard]] const Executor *allocate(std::size_t task, const std::string &rack, bool onlyRack)
     {
         const ResourceVector demand = step().countedDemand();
@@ -93,6 +96,7 @@
         ResourceVector free_;
         std::uint32_t headroom_ = 0;
         bool suspect_ = false;
+        bool proven_ = false; ///< isProven(); set only if the group prefers such executors
         HostFit fit_ = HostFit::Neutral;
         bool slow_ = false; ///< too slow for the group; set only for urgent work
         bool settled_ = false; ///< isSettled(); set only if the group has tasks to isolate
@@ -115,6 +119,9 @@
         if (left.suspect_ != right.suspect_) {
             return right.suspect_;
         }
+        if (left.proven_ != right.proven_) {
+            return left.proven_;
+        }
         const bool leftOnRack = left.executor_->rack() == rack;
         const bool rightOnRack = right.executor_->rack() == rack;
         if (leftOnRack != rightOnRack) {
@@ -429,6 +436,7 @@
             continue;
         }
         group.job_->waitingSince_.try_emplace(group.group_.first_, cluster.now_);
+        group.mayExpectProven_ = mayExpectProven(cluster, group);
         if (group.job_->settings_.priority_ > 0) {
             holds.holdUrgentReserve(group.job_->submission_.service_);
         }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -70,6 +70,7 @@
             failures.erase(failures.begin());
         }
         failures.push_back(run.run_);
+        job.failedAt_[member] = cluster.now_;
     }
     job.markChanged();
     if (limitsAttempts && failedRuns.size() >= static_cast<std::size_t>(job.settings_.maxAttempts_)) {
@@ -110,13 +111,13 @@
     if (end.kind_ != EndKind::Done) {
         countSpentStart(cluster, cluster.runs_.at(run));
     }
+    const Instant startedAt = cluster.runs_.at(run).startedAt_;
     removeRun(cluster, run);
     if (end.kind_ == EndKind::Done && !longRunning) {
-        executor.failedJobs_.clear();
-        executor.succeededAt_ = cluster.now_;
+        recordProof(executor, startedAt);
         applySuccess(cluster, job, run, index);
     } else if (end.kind_ == EndKind::Failed) {
-        recordFailure(cluster, executor, job.submission_.id_);
+        recordFailure(cluster, executor, job, startedAt);
         excludeExecutor(cluster, job, groupOf(job.submission_, run.task_), index, executor.info_.incarnation_.executor_);
         applyFailure(cluster, job, run, index);
     }
@@ -256,6 +257,7 @@
         resetProgress(run, task, executor.listedAt_); // the agent's clock went back because its host has rebooted
     }
     if (task.percent_ > run.percent_) {
+        const bool isFirstRise = run.percent_ == run.initialPercent_;
         run.percent_ = task.percent_;
         run.percentAt_ = cluster.now_;
         run.progressAt_ = executor.listedAt_;
@@ -263,6 +265,10 @@
             run.initialPercent_ = task.percent_;
             run.initialAt_ = executor.listedAt_;
         }
+        recordProof(executor, run.startedAt_);
+        if (isFirstRise) {
+            condemnFailing(cluster, cluster.jobs_.at(run.id_.task_.job_));
+        }
     }
     clearSurvivor(cluster, executor, run);
     applyCheckpoint(cluster, run, task.checkpoint_, executor.listedAt_);
@@ -286,7 +292,7 @@
         executor.firstIgnoredEnd_.reset();
         executor.failedJobs_.clear();
         executor.failedAt_ = Instant();
-        executor.succeededAt_ = Instant();
+        executor.provenBy_ = Instant();
         executor.quarantinedUntil_ = Instant();
         cluster.logEvent("executor-seen",
                          {{"executor", report.executor_.incarnation_.executor_.str()},
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -70,6 +70,16 @@
         step({batch::ConfigChanged{config_}});
     }
 
+    /// Sets the attempts of tasks in the queues with \p priority.
+    void setMaxAttempts(std::int32_t priority, std::int32_t attempts)
+    {
+        for (batch::Queue &queue : config_.queues_) {
+            queue.maxAttempts_ = queue.priority_ == priority ? attempts : queue.maxAttempts_;
+        }
+        ++config_.version_;
+        step({batch::ConfigChanged{config_}});
+    }
+
     /// Replaces the placement policy of the queue "h/advised/".
     void setPolicy(const batch::PlacementPolicy &policy)
     {
--- a/tests/unit/batch_retry_test.cpp
+++ b/tests/unit/batch_retry_test.cpp
@@ -9,7 +9,7 @@
     CPPUNIT_TEST_SUITE(BatchRetryTest);
     CPPUNIT_TEST(suspectExecutorIsUsedLast);
     CPPUNIT_TEST(retryAvoidsExecutorsWithFailures);
-    CPPUNIT_TEST(lastAttemptUsesExecutorWithRecentSuccess);
+    CPPUNIT_TEST(retriesUseExecutorsWithRecentSuccess);
     CPPUNIT_TEST(lastAttemptFallsBackToAnyExecutor);
     CPPUNIT_TEST(retryUsesPreemptedResources);
     CPPUNIT_TEST_SUITE_END();
@@ -39,18 +39,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.running("wide").size());
     }
 
-    void lastAttemptUsesExecutorWithRecentSuccess()
+    void retriesUseExecutorsWithRecentSuccess()
     {
         LeaderBench bench(4);
-        for (const std::string job : {"a", "b", "c", "proof"}) {
+        for (const std::string job : {"a", "b", "proof", "proof-2"}) {
             submitAndStart(bench, job);
         }
         bench.endRun(bench.running("proof").front(), batch::EndKind::Done);
-        for (const std::string job : {"a", "b", "c"}) {
+        bench.endRun(bench.running("proof-2").front(), batch::EndKind::Done);
+        for (const std::string job : {"a", "b"}) {
             bench.step({batch::CancelStored{JobId(job)}});
         }
         bench.advanceTime(300ms);
-        for (const std::size_t executor : {0, 1, 3}) {
+        for (const std::size_t executor : {0, 2, 3}) {
             if (executor == 0) {
                 submitAndStart(bench, "fragile");
             }
