A third or last attempt pauses for 0.2 s, so that failures of what started with it are known

Cause: executors that fail at once are met by a job's tasks and by gangs placed in the same step. The retry of a gang of two attempts went to another of them, 50 ms later, while the failures of other tasks there weren't reported yet.

Test: onlyPoisonedJobIsGivenUp hands the gang in beside the wide job.

--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds maxWaitForProven{700};
 constexpr milliseconds maxWaitOfLastAttempt{1'500};
 
+/// How long a task pauses after its failure before its third or last attempt: failures of what started with it become known meanwhile.
+constexpr milliseconds evidencePause{200};
+
 /// How long a task waits for an executor that isn't suspect, from its failure.
 constexpr milliseconds maxWaitForUnsuspected{1'400};
 constexpr milliseconds maxWaitOfLastForUnsuspected{2'000};
@@ -82,6 +85,9 @@
     const bool limitsAttempts = !job.submission_.steps_[group.group_.step_].longRunning_;
     const bool isLast = limitsAttempts && failures + 1 >= static_cast<std::size_t>(job.settings_.maxAttempts_);
     const Duration waited = waitedSinceFailure(cluster, group, index);
+    if ((isLast || failures > 1) && waited < evidencePause) {
+        return false;
+    }
     if (waited > (isLast ? maxWaitOfLastForUnsuspected : maxWaitForUnsuspected) || isProven(cluster, executor)) {
         return true;
     }
--- a/tests/unit/batch_attempts_test.cpp
+++ b/tests/unit/batch_attempts_test.cpp
@@ -32,12 +32,11 @@
         const std::set<std::size_t> failing = bench.executorsOf("former");
         play(bench, 2'800ms, {});
         play(bench, 300ms, failing); // what started there before still ends well
-        bench.submit(makeJob("wide", 15, quarterExecutor, 3s));
-        play(bench, 200ms, failing);
         batch::Submission gang = makeGang("gang", 2, quarterExecutor, 3s);
         gang.queue_ = "h/0/";
         bench.submit(gang);
-        play(bench, 200ms, failing);
+        bench.submit(makeJob("wide", 15, quarterExecutor, 3s));
+        play(bench, 400ms, failing);
         bench.submit(makeJob("poisoned", 2, quarterExecutor, 3s));
         play(bench, 4'500ms, failing);
         play(bench, 30s, {});
