--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -32,9 +32,6 @@
 constexpr milliseconds maxWaitForUnsuspected{1'400};
 constexpr milliseconds maxWaitOfLastForUnsuspected{2'000};
 
-/// Gangs with at most this many attempts avoid suspect executors with the first one: any member's failure is that of all.
-constexpr std::int32_t fewAttempts = 2;
-
 /// At most one executor in this many is in quarantine.
 constexpr std::size_t executorsPerQuarantined = 3;
 
@@ -51,11 +48,6 @@
     return excluded != job.excludedExecutors_.end() && excluded->second.contains(executor);
 }
 
-bool isCautiousGang(const Job &job, const Step &step)
-{
-    return step.gang_ && !step.longRunning_ && job.settings_.maxAttempts_ <= fewAttempts;
-}
-
 /// Returns how long the task at \p index of \p group has waited since it could be placed again: a wait of its group for room doesn't count.
 Duration waitedSinceFailure(const ClusterState &cluster, const WaitingGroup &group, std::size_t index)
 {
@@ -139,7 +131,7 @@
 {
     const Job &job = *group.job_;
     const auto hasFailed = [&job](std::size_t task) { return !job.progress_.tasks_[task].failedRuns_.empty(); };
-    return isCautiousGang(job, job.submission_.steps_[group.group_.step_]) || std::any_of(group.tasks_.begin(), group.tasks_.end(), hasFailed);
+    return std::any_of(group.tasks_.begin(), group.tasks_.end(), hasFailed);
 }
 
 bool mayExpectProven(const ClusterState &cluster, const WaitingGroup &group)
@@ -162,11 +154,7 @@
         return false;
     }
     const std::size_t failures = job.progress_.tasks_[index].failedRuns_.size();
-    if (failures > 0) {
-        return mayRetryOn(cluster, group, index, executor, failures);
-    }
-    return !isCautiousGang(job, job.submission_.steps_[group.group_.step_]) || !isSuspect(cluster, executor)
-        || waitedSinceFailure(cluster, group, index) > maxWaitForProven;
+    return failures == 0 || mayRetryOn(cluster, group, index, executor, failures);
 }
 
 void relaxExclusionsIfNeeded(ClusterState &cluster, Job &job, const Group &group, const std::vector<Executor *> &candidates)
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -64,7 +64,7 @@
     }
 
     /// Allocates resources for \p task and returns the executor, or a null pointer if the task fits nowhere. Prefers executors that aren't
-    /// suspect, then those on \p rack, then those whose host suits the group best, then (for retries and gangs with few attempts) proven ones, then (for urgent
+    /// suspect, then those on \p rack, then those whose host suits the group best, then (for retries) proven ones, then (for urgent
     /// work) those that aren't slow, then the fullest.
     [[nodiscard]] const Executor *allocate(std::size_t task, const std::string &rack, bool onlyRack)
     {
