--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds maxWaitForUnsuspected{1'400};
 constexpr milliseconds maxWaitOfLastForUnsuspected{2'000};
 
+/// The first attempt of a gang with at most this many waits for executors that aren't suspect, for maxWaitOfSecondAttempt: any member's failure is that of all.
+constexpr std::int32_t fewAttempts = 2;
+
 /// At most one executor in this many is in quarantine.
 constexpr std::size_t executorsPerQuarantined = 3;
 
@@ -154,7 +157,12 @@
         return false;
     }
     const std::size_t failures = job.progress_.tasks_[index].failedRuns_.size();
-    return failures == 0 || mayRetryOn(cluster, group, index, executor, failures);
+    if (failures > 0) {
+        return mayRetryOn(cluster, group, index, executor, failures);
+    }
+    const Step &step = job.submission_.steps_[group.group_.step_];
+    const bool isCautious = step.gang_ && !step.longRunning_ && job.settings_.maxAttempts_ <= fewAttempts;
+    return !isCautious || !isSuspect(cluster, executor) || waitedSinceFailure(cluster, group, index) > maxWaitOfSecondAttempt;
 }
 
 void relaxExclusionsIfNeeded(ClusterState &cluster, Job &job, const Group &group, const std::vector<Executor *> &candidates)
--- a/src/core/batch/health.h
+++ b/src/core/batch/health.h
@@ -11,7 +11,8 @@
 void excludeExecutor(const ClusterState &cluster, Job &job, const Group &group, std::size_t index, const ExecutorId &executor);
 
 /// Returns whether the task at \p index of \p group may run on \p executor. Excluded executors are never allowed. A task that has failed
-/// before waits for a proven executor, longer with each attempt, then for one that isn't suspect; after that it accepts any.
+/// before waits for a proven executor, longer with each attempt, then for one that isn't suspect; after that it accepts any. The first attempt of a gang
+/// with few attempts avoids suspect executors for a short time, too.
 [[nodiscard]] bool mayRunOn(const ClusterState &cluster, const WaitingGroup &group, std::size_t index, const Executor &executor);
 
 /// Returns whether a task failed on \p executor recently and none that started there since has shown progress.
