Hosts' speeds outlive the samples that showed them

Cause: what samples had told was dropped with them a minute later, and the profile fell back to the stored one or to nothing: slow hosts left free for a minute counted as unmeasured, and were stored as such. A host of which more tasks ran in one step than elsewhere counted as measured by its own tasks alone. The prior outweighed a change of speed, profiles in memory had no limit, and an extreme time in the record overflowed. Change: a sample that gets too old is absorbed into what is known from before, which counts as little after a change; only weight of other hosts' samples makes a sample independent; at most 4,608 profiles are kept.

--- a/src/core/batch/host_profiles.cpp
+++ b/src/core/batch/host_profiles.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -47,6 +48,9 @@
 constexpr std::chrono::hours maxProfileAge{24};
 constexpr std::size_t maxProfiles = 4'096;
 
+/// How many profiles more are kept until the oldest ones are dropped.
+constexpr std::size_t excessProfiles = 512;
+
 constexpr double centi = 100;
 
 /// Limit for what is read from the store: a host that takes a hundred times as long.
@@ -61,6 +65,9 @@
 
 std::size_t HostProfiles::indexOf(const std::string &name)
 {
+    if (indexes_.size() >= maxProfiles + excessProfiles && !indexes_.contains(name)) {
+        dropOldProfiles();
+    }
     const auto [entry, isNew] = indexes_.try_emplace(name, hosts_.size());
     if (isNew) {
         Host host;
@@ -84,7 +91,7 @@
     }
     const std::size_t index = indexOf(host);
     hosts_[index].observedAt_ = calendar;
-    samples_[run] = {index, sample, now, 0};
+    samples_[run] = {index, sample, now, 0, 0, 0};
     isOutdated_ = true;
     ++recorded_;
 }
@@ -96,7 +103,7 @@
     }
     isOutdated_ = false;
     fittedAt_ = now;
-    dropOldSamples(now);
+    absorbOldSamples(now);
     weighSamples(now);
     for (int pass = 0; pass < passes; ++pass) {
         fitOnce();
@@ -105,9 +112,44 @@
     centre();
 }
 
-void HostProfiles::dropOldSamples(Instant now)
+void HostProfiles::absorbOldSamples(Instant now)
 {
-    std::erase_if(samples_, [now](const auto &entry) { return now - entry.second.at_ > sampleAge; });
+    std::erase_if(samples_, [this, now](const auto &entry) {
+        const Sample &sample = entry.second;
+        if (now - sample.at_ <= sampleAge) {
+            return false;
+        }
+        Host &host = hosts_[sample.host_];
+        const double precision = host.priorPrecision_ + sample.independent_;
+        host.priorMean_ = (host.priorPrecision_ * host.priorMean_ + sample.independent_ * sample.logSlowness_) / precision;
+        host.priorPrecision_ = std::min(precision, maxPriorPrecision);
+        return true;
+    });
+}
+
+void HostProfiles::dropOldProfiles()
+{
+    std::vector<std::pair<CalendarTime, std::string>> newestFirst;
+    newestFirst.reserve(indexes_.size());
+    for (const auto &[name, index] : indexes_) {
+        newestFirst.emplace_back(hosts_[index].observedAt_, name);
+    }
+    std::sort(newestFirst.begin(), newestFirst.end(), std::greater<>());
+    newestFirst.resize(std::min(newestFirst.size(), maxProfiles));
+    std::map<std::string, std::size_t> indexes;
+    std::vector<Host> hosts;
+    std::map<std::size_t, std::size_t> moved; // new index by former one
+    for (const auto &[observedAt, name] : newestFirst) {
+        moved[indexes_.at(name)] = hosts.size();
+        indexes[name] = hosts.size();
+        hosts.push_back(hosts_[indexes_.at(name)]);
+    }
+    std::erase_if(samples_, [&moved](const auto &entry) { return !moved.contains(entry.second.host_); });
+    for (auto &[run, sample] : samples_) {
+        sample.host_ = moved.at(sample.host_);
+    }
+    indexes_ = std::move(indexes);
+    hosts_ = std::move(hosts);
 }
 
 void HostProfiles::weighSamples(Instant now)
@@ -118,7 +160,7 @@
     }
 }
 
-HostProfiles::StepFit HostProfiles::fitStep(Samples::const_iterator first) const
+HostProfiles::StepFit HostProfiles::fitStep(Samples::iterator first)
 {
     StepFit step{first, 0, 0};
     double sum = 0;
@@ -137,16 +179,19 @@
         host.weight_ = host.priorPrecision_;
         host.residuals_ = host.priorPrecision_ * host.priorMean_;
     }
-    for (auto first = samples_.cbegin(); first != samples_.end();) {
+    for (auto first = samples_.begin(); first != samples_.end();) {
         const StepFit step = fitStep(first);
+        std::for_each(first, step.end_, [this](const auto &entry) { hosts_[entry.second.host_].stepWeight_ = 0; });
+        std::for_each(first, step.end_, [this](const auto &entry) { hosts_[entry.second.host_].stepWeight_ += entry.second.weight_; });
         for (; first != step.end_; ++first) {
-            const Sample &sample = first->second;
+            Sample &sample = first->second;
             Host &host = hosts_[sample.host_];
             const double limit = outlierDeviations * std::sqrt(sample.pace_.variance_);
             const double deviation = std::clamp(sample.pace_.logPace_ - step.effect_ - host.logSlowness_, -limit, limit);
-            const double independent = sample.weight_ * (1 - sample.weight_ / step.weight_); // the sample has contributed to the step's effect
-            host.weight_ += independent;
-            host.residuals_ += independent * (host.logSlowness_ + deviation);
+            sample.independent_ = sample.weight_ * (1 - host.stepWeight_ / step.weight_); // the host's own samples have contributed to the step's effect
+            sample.logSlowness_ = host.logSlowness_ + deviation;
+            host.weight_ += sample.independent_;
+            host.residuals_ += sample.independent_ * sample.logSlowness_;
         }
     }
     for (Host &host : hosts_) {
@@ -158,11 +203,11 @@
 void HostProfiles::findChanges()
 {
     std::map<std::size_t, std::map<Instant, double>> deviations; // by host: of its samples, in standard deviations
-    for (auto first = samples_.cbegin(); first != samples_.end();) {
+    for (auto first = samples_.begin(); first != samples_.end();) {
         const StepFit step = fitStep(first);
         for (; first != step.end_; ++first) {
             const Sample &sample = first->second;
-            if (step.weight_ > sample.weight_) {
+            if (sample.independent_ > 0) {
                 const double deviation = sample.pace_.logPace_ - step.effect_ - hosts_[sample.host_].logSlowness_;
                 deviations[sample.host_][sample.at_] = deviation / std::sqrt(sample.pace_.variance_);
             }
@@ -178,6 +223,7 @@
         const bool isFaster = std::all_of(last, samples.end(), [](const auto &sample) { return sample.second < -changeDeviations; });
         if ((isSlower || isFaster) && last->first > host.changedAt_) {
             host.changedAt_ = last->first;
+            host.priorPrecision_ = unknownPrecision;
             isOutdated_ = true;
         }
     }
@@ -195,8 +241,12 @@
     }
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
     std::nth_element(values.begin(), middle, values.end());
+    const double median = *middle;
     for (Host &host : hosts_) {
-        host.logSlowness_ -= *middle;
+        host.logSlowness_ -= median;
+    }
+    for (auto &[run, sample] : samples_) {
+        sample.logSlowness_ -= median;
     }
 }
 
@@ -234,7 +284,7 @@
 {
     std::multimap<CalendarTime, const StoredHostSpeed *, std::greater<>> newestFirst;
     for (const StoredHostSpeed &speed : stored) {
-        if (calendar - speed.observedAt_ < maxProfileAge) {
+        if (speed.observedAt_ > calendar - maxProfileAge) {
             newestFirst.emplace(speed.observedAt_, &speed);
         }
     }
--- a/src/core/batch/host_profiles.h
+++ b/src/core/batch/host_profiles.h
@@ -38,8 +38,9 @@
 /// Learns how much longer tasks take on each host than on others. The slowness of a host is the ratio of a task's run time there to that on the fleet's median
 /// host.
 ///
-/// Models the logarithm of a run's pace as the sum of an effect of its step and one of its host, and fits both to the samples of the last minute. A host's effect
-/// is drawn to what is known of it from before. Recent samples weigh more; once a host's last ones contradict the older ones, these hardly count any more.
+/// Models the logarithm of a run's pace as the sum of an effect of its step and one of its host, and fits both to the samples of the last minute. A host's
+/// effect is drawn to what is known of it from before. Recent samples weigh more; once a host's last ones contradict the older ones, these hardly count any
+/// more.
 ///
 /// Thread safety: a value type.
 class HostProfiles
@@ -82,6 +83,7 @@
         CalendarTime observedAt_{};
         double residuals_ = 0; ///< weighted sum; used while fitting
         double weight_ = 0; ///< likewise
+        double stepWeight_ = 0; ///< likewise: of its samples of the step that is being fitted
         Instant changedAt_{}; ///< samples from before hardly count
     };
 
@@ -91,6 +93,8 @@
         PaceSample pace_;
         Instant at_{};
         double weight_ = 0; ///< used while fitting
+        double independent_ = 0; ///< the part of weight_ that tells of the host
+        double logSlowness_ = 0; ///< of the host, as far as the sample tells
     };
 
     using Samples = std::map<RunId, Sample>; ///< ordered by step
@@ -103,14 +107,15 @@
     /// The samples of a step, up to end_, and the effect of the step that fits them.
     struct StepFit
     {
-        Samples::const_iterator end_;
+        Samples::iterator end_;
         double effect_ = 0;
         double weight_ = 0; ///< of all its samples
     };
 
     /// Fits the step whose samples begin at \p first.
-    [[nodiscard]] StepFit fitStep(Samples::const_iterator first) const;
-    void dropOldSamples(Instant now);
+    [[nodiscard]] StepFit fitStep(Samples::iterator first);
+    void absorbOldSamples(Instant now); ///< what they have told of their hosts is kept
+    void dropOldProfiles();
     void weighSamples(Instant now);
     void fitOnce();
     void findChanges();
