Stand-ins store the fleet profile and hand it on

Cause: a leader stores nothing until it has been told what is stored, so that in the stand-ins no profile was ever written, and the new record had no sample, no decoder under the fuzzers and no bytes in the list of formats. Change: LeaderBench, Cluster and the model's world store the profile if the leader holds its key and the store is there, and pass it to the next leader; LeaderBench as bytes, with writes that don't arrive. The fuzzers weren't run.

--- a/tests/batch/cluster_impl.h
+++ b/tests/batch/cluster_impl.h
@@ -120,6 +120,7 @@
     std::map<JobId, StoredProgress> records_;
     std::map<JobId, batch::CrashHistory> crashHistories_;
     std::map<JobId, batch::StartRecord> startRecords_;
+    batch::FleetProfile profile_; ///< stored
     std::map<JobId, TaskBehaviour> behaviours_;
     std::map<JobId, CrashingTask> crashing_;
     std::size_t crashes_ = 0; ///< executors that crashing tasks took down
--- a/tests/batch/cluster_leaders.cpp
+++ b/tests/batch/cluster_leaders.cpp
@@ -32,6 +32,7 @@
         starts.records_.push_back({record, now_ - leaderGoneAt_}); // the next leader has seen the key go
     }
     inputs.emplace_back(std::move(starts));
+    inputs.emplace_back(batch::FleetProfileStored{profile_});
     for (const JobId &job : cancels_) {
         inputs.emplace_back(batch::CancelStored{job});
     }
@@ -65,6 +66,10 @@
             write(index, std::move(*commit));
         } else if (const auto *directive = std::get_if<batch::SendDirective>(&output)) {
             sendDirective(*directive);
+        } else if (auto *profile = std::get_if<batch::StoreProfile>(&output)) {
+            if (leader.epoch_ == leaderRevision_ && faults_->storeDownUntil_ <= now_) {
+                profile_ = std::move(profile->profile_);
+            }
         } else if (const auto *logEvent = std::get_if<batch::LogEvent>(&output)) {
             trace("leader-" + std::to_string(leader.epoch_), logEvent->event_, logEvent->fields_);
             noteSettlement(*logEvent);
--- a/tests/batch/leader_bench.h
+++ b/tests/batch/leader_bench.h
@@ -43,7 +43,7 @@
         config.version_ = 1;
         config.workspaces_ = {{WorkspaceId("w"), {}, 16}};
         config_ = config;
-        step({batch::ConfigChanged{config}});
+        step({batch::ConfigChanged{config}, batch::FleetProfileStored{}});
         for (std::size_t index = 0; index < executors; ++index) {
             batch::Report report;
             report.agent_ = "host-" + std::to_string(index);
@@ -78,6 +78,16 @@
         step({batch::ConfigChanged{config_}});
     }
 
+    /// Sets the objective of the queues with \p priority, as a multiple of a job's own time.
+    void setStretch(std::int32_t priority, double stretch)
+    {
+        for (batch::Queue &queue : config_.queues_) {
+            queue.stretch_ = queue.priority_ == priority ? stretch : queue.stretch_;
+        }
+        ++config_.version_;
+        step({batch::ConfigChanged{config_}});
+    }
+
     /// Removes the queue with \p priority from the configuration.
     void removeQueue(std::int32_t priority)
     {
@@ -144,6 +154,8 @@
                 carryOut(*directive);
             } else if (const auto *event = std::get_if<batch::LogEvent>(&output)) {
                 logEvents_.push_back(*event);
+            } else if (const auto *write = std::get_if<batch::StoreProfile>(&output)) {
+                storeProfile(write->profile_);
             }
         }
     }
@@ -291,6 +303,23 @@
         }
         replaceLeader(gap);
         step(std::move(records));
+        passProfile();
+    }
+
+    /// Passes the stored fleet profile to the leader, which isn't told if it can't be read.
+    void passProfile()
+    {
+        if (storedProfile_.empty()) {
+            step({batch::FleetProfileStored{}});
+            return;
+        }
+        leaf::try_handle_all(
+            [this]() -> Result<void> {
+                BOOST_LEAF_AUTO(profile, batch::decodeFleetProfile(storedProfile_));
+                step({batch::FleetProfileStored{std::move(profile)}});
+                return {};
+            },
+            [] {});
     }
 
     void setPercent(const RunId &run, std::int32_t percent)
@@ -404,6 +433,15 @@
         }
     }
 
+    /// Writes \p profile to the store, as its bytes.
+    void storeProfile(const batch::FleetProfile &profile)
+    {
+        ++profileWrites_;
+        if (profileWritesArrive_) {
+            storedProfile_ = batch::encode(profile);
+        }
+    }
+
     /// Carries out the orders of \p sent on the executors, all at once except for stops held back by delayedStopIndex_.
     void carryOut(const batch::SendDirective &sent)
     {
@@ -439,6 +477,9 @@
     bool storesSettings_ = true; ///< if false, the leader is of a release that doesn't store the settings with which jobs were accepted
     Duration recordAge_{}; ///< known age of the start records when a leader is replaced
     bool storeIsSlow_ = false; ///< commits are answered by answerCommit() only
+    bool profileWritesArrive_ = true; ///< if false, the store is away, or the leader is killed, when the fleet profile is written
+    std::string storedProfile_; ///< bytes of the stored fleet profile; empty if there is none
+    std::size_t profileWrites_ = 0; ///< how often the leader has asked for the fleet profile to be stored
     std::optional<std::uint32_t> delayedStopIndex_; ///< task index whose runs don't stop while it is set
 
 private:
--- a/tests/fuzz/product_decoders.cpp
+++ b/tests/fuzz/product_decoders.cpp
@@ -101,6 +101,23 @@
     });
 }
 
+/// What is read is also loaded, as any values may be stored.
+void decodeFleetProfile(const std::string &input)
+{
+    decodePayload(batch::PayloadKind::FleetProfile, input, [](const std::string &bytes) -> Result<void> {
+        BOOST_LEAF_AUTO(value, batch::decodeFleetProfile(bytes));
+        BOOST_LEAF_CHECK(batch::decodeFleetProfile(batch::encode(value)));
+        batch::HostProfiles hosts;
+        hosts.load(value.hosts_, batch::CalendarTime{});
+        hosts.refresh(Instant(std::chrono::hours(1)));
+        (void)hosts.toStore();
+        batch::RunTimes times;
+        times.load(value.queues_);
+        (void)times.expected("queue", batch::milliseconds(1'000));
+        return {};
+    });
+}
+
 void decodeReport(const std::string &input)
 {
     decodePayload(batch::PayloadKind::Report, input, [](const std::string &bytes) -> Result<void> {
@@ -231,6 +248,7 @@
     Decoder{"crash-history", decodeCrashHistory},
     Decoder{"accepted-settings", decodeAcceptedSettings},
     Decoder{"start-record", decodeStartRecord},
+    Decoder{"fleet-profile", decodeFleetProfile},
     Decoder{"report", decodeReport},
     Decoder{"directive", decodeDirective},
     Decoder{"forwarded-call", decodeForwardedCall},
--- a/tests/model/world.h
+++ b/tests/model/world.h
@@ -162,6 +162,7 @@
     void renewLeaderLeases();
     void stepLeader(std::size_t index, std::vector<batch::LeaderInput> inputs);
     void handleOutputs(std::size_t index, std::vector<batch::LeaderOutput> outputs);
+    void storeProfile(std::size_t index, batch::FleetProfile profile);
     [[nodiscard]] bool sendCommit(std::size_t index, std::vector<batch::LeaderOutput> &outputs, std::size_t position);
     [[nodiscard]] bool sendDirective(std::size_t index, std::vector<batch::LeaderOutput> &outputs, std::size_t position);
     void write(std::size_t index, const batch::Commit &commit, CommitFate fate);
@@ -226,6 +227,7 @@
     std::map<JobId, StoredRecord> records_;
     std::map<JobId, batch::CrashHistory> crashHistories_;
     std::map<JobId, batch::StartRecord> startRecords_;
+    batch::FleetProfile profile_; ///< stored
     std::int64_t revision_ = 1;
     std::int64_t leaderKey_ = 0; ///< epoch of the leader that holds the key; 0 while none does
     bool electing_ = false;
--- a/tests/model/world_leaders.cpp
+++ b/tests/model/world_leaders.cpp
@@ -60,6 +60,7 @@
         starts.records_.push_back({record, Duration(0)});
     }
     inputs.emplace_back(std::move(starts));
+    inputs.emplace_back(batch::FleetProfileStored{profile_});
     for (const JobId &job : cancelled_) {
         inputs.emplace_back(batch::CancelStored{job});
     }
@@ -224,12 +225,22 @@
     for (std::size_t position = 0; position < outputs.size(); ++position) {
         const bool isCommit = std::holds_alternative<batch::Commit>(outputs[position]);
         const bool isDirective = std::holds_alternative<batch::SendDirective>(outputs[position]);
+        if (auto *profile = std::get_if<batch::StoreProfile>(&outputs[position])) {
+            storeProfile(index, std::move(profile->profile_));
+        }
         if ((isCommit && !sendCommit(index, outputs, position)) || (isDirective && !sendDirective(index, outputs, position))) {
             return;
         }
     }
 }
 
+void World::storeProfile(std::size_t index, batch::FleetProfile profile)
+{
+    if (leaders_[index].epoch_ == leaderKey_ && now_ >= std::max(storeDownUntil_, leaders_[index].cutFromStoreUntil_)) {
+        profile_ = std::move(profile);
+    }
+}
+
 /// Returns whether the leader goes on with its outputs.
 bool World::sendCommit(std::size_t index, std::vector<batch::LeaderOutput> &outputs, std::size_t position)
 {
--- a/tests/support/formats.cpp
+++ b/tests/support/formats.cpp
@@ -280,6 +280,10 @@
     const batch::PlacementPolicy policy{milliseconds(2), milliseconds(3), milliseconds(4)};
     const batch::AcceptedSettings settings{JobId("00000000000000aa"), {ServiceId("service"), 5, 6, 1.5, milliseconds(7), policy}};
     samples.push_back({keys::settings, "accepted-settings", batch::encode(settings), rewritePayload<batch::AcceptedSettings, batch::decodeAcceptedSettings>});
+#endif
+#if __has_include("core/batch/fleet_profile.h")
+    const batch::FleetProfile profile{{{"host", -12, 34, batch::CalendarTime(milliseconds(1'800'000'000'005))}, {}}, {{"host/queue/", 6, -1.5, 0.25, 2, -0.5}}};
+    samples.push_back({keys::profile, "fleet-profile", batch::encode(profile), rewritePayload<batch::FleetProfile, batch::decodeFleetProfile>});
 #endif
     samples.push_back({keys::leader, "leader", Address::parse("10.1.2.3:9400")->str(), rewriteAddress});
     samples.push_back({keys::entries, "entry", Address::parse("10.1.2.4:9400")->str(), rewriteAddress});
