report late measures work on sound hosts near its data, and names slow members

Cause: a job's objective followed from how long its runs took on the hosts that they got, so that a job on slow hosts or racks was never late.

Change: HostFit finds how slow each host is from all runs (alternating means; the sound host is the one that a third is at least as fast as). Ends that a new leader reports at once lie between. Causes slow-member, with host and slowness, and away-from-rack; cancelled, repeated and long-running jobs are left out; jobs that no answer has shown are marked.

Tests of lateness and fit seen red with the fit, the rack, the gap of leaders or the exclusion taken out.

--- a/src/cli/late.cpp
+++ b/src/cli/late.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <map>
+#include <string>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -34,8 +36,38 @@
             {"priority", job.priority_},
             {"took_ms", job.turnaround_.count()},
             {"objective_ms", job.objective_.count()},
+            {"shown", job.shown_},
             {"cause", report::toString(job.cause_)},
-            {"lost_ms", lost}};
+            {"lost_ms", lost},
+            {"slowest_host", job.slowestHost_.empty() ? Json() : Json(job.slowestHost_)},
+            {"slowness", job.slowness_}};
+}
+
+/// Returns the cause of the delay of \p job, with what is to be known besides.
+std::string causeText(const report::LateJob &job)
+{
+    std::string text = report::toString(job.cause_);
+    if (!job.slowestHost_.empty()) {
+        char host[128]; // a longer name is cut off
+        std::snprintf(host, sizeof host, " (%s, %.1f times as slow)", job.slowestHost_.c_str(), job.slowness_);
+        text += host;
+    }
+    return job.shown_ ? text : text + ", not shown";
+}
+
+/// Prints how many jobs each host has delayed by its slowness.
+void printSlowHosts(const std::vector<report::LateJob> &jobs)
+{
+    std::map<std::string, std::pair<std::size_t, double>> hosts;
+    for (const report::LateJob &job : jobs) {
+        if (!job.slowestHost_.empty()) {
+            ++hosts[job.slowestHost_].first;
+            hosts[job.slowestHost_].second = job.slowness_;
+        }
+    }
+    for (const auto &[host, delayed] : hosts) {
+        std::printf("  host %s, %.1f times as slow: %zu\n", host.c_str(), delayed.second, delayed.first);
+    }
 }
 
 }
@@ -83,12 +115,13 @@
                     job.priority_,
                     secondsOf(job.turnaround_),
                     secondsOf(job.objective_),
-                    report::toString(job.cause_));
+                    causeText(job).c_str());
     }
     std::printf("%zu completed, %zu late\n", report.completed(), jobs.size());
     for (const auto &[key, count] : causes) {
         std::printf("  priority %d, %s: %zu\n", key.first, report::toString(key.second), count);
     }
+    printSlowHosts(jobs);
 }
 
 }
--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -121,6 +121,17 @@
                        [&](const TaskProgress &task) { return rackOf(cluster, task.placement_) == expectedRack; });
 }
 
+double rackSlowdown(const ClusterState &cluster, const Step &step, const std::vector<Incarnation> &executors)
+{
+    if (!prefersRack(step) || executors.empty()) {
+        return 1;
+    }
+    const std::string expectedRack = step.sameRack_ ? rackOf(cluster, executors.front()) : step.affinity_;
+    const bool isLocal
+        = std::all_of(executors.begin(), executors.end(), [&](const Incarnation &incarnation) { return rackOf(cluster, incarnation) == expectedRack; });
+    return isLocal ? 1 : cluster.limits_.spreadFactor_;
+}
+
 bool mayUseOtherRacks(const ClusterState &cluster, const WaitingGroup &group)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
--- a/src/core/batch/racks.h
+++ b/src/core/batch/racks.h
@@ -20,6 +20,10 @@
 /// Returns whether all tasks of \p group are placed on a rack where they run at full speed. Precondition: all have been assigned.
 [[nodiscard]] bool isRackLocal(const ClusterState &cluster, const Job &job, const Group &group);
 
+/// Returns how many times as long tasks of \p step take on \p executors as near their data or on one rack; 1 if they aren't slowed. Precondition for a
+/// gang: \p executors are those of all of its tasks.
+[[nodiscard]] double rackSlowdown(const ClusterState &cluster, const Step &step, const std::vector<Incarnation> &executors);
+
 /// Returns whether \p group has waited for its rack for as long as the lost speed is worth. The wait is longer in a busy fleet, as slowed
 /// work occupies resources that other waiting work needs.
 [[nodiscard]] bool hasWaitedForRack(const ClusterState &cluster, const WaitingGroup &group);
--- a/src/core/report/lateness.cpp
+++ b/src/core/report/lateness.cpp
@@ -56,6 +56,15 @@
     return found == fields.end() ? std::string() : found->second;
 }
 
+/// An end reported so soon after a leader's election may have come long before.
+constexpr milliseconds leaderStartSpan{2'000};
+
+/// Returns the name of the step of the task named JOB.OCCURRENCE.STEP.INDEX.
+std::string stepName(const std::string &task)
+{
+    return task.substr(0, task.rfind('.'));
+}
+
 /// Returns occurrence and step of the task named JOB.OCCURRENCE.STEP.INDEX.
 std::pair<int, int> stepOf(const std::string &task)
 {
@@ -96,6 +105,10 @@
         return "stopped";
     case LossCause::WaitedToRetry:
         return "waited-to-retry";
+    case LossCause::SlowMember:
+        return "slow-member";
+    case LossCause::AwayFromRack:
+        return "away-from-rack";
     case LossCause::Slow:
         break;
     }
@@ -122,6 +135,14 @@
         addCall(time, fields);
         return;
     }
+    if (event == "leader-won") {
+        addLeader(time);
+        return;
+    }
+    if (event == "executor-seen" && fields.contains("agent")) {
+        hosts_[fieldText(fields, "executor")] = fieldText(fields, "agent");
+        return;
+    }
     const std::string job = fieldText(fields, "job");
     if (event == "job-known") {
         addKnown(timelines_[job], time, fields);
@@ -132,17 +153,49 @@
         return;
     }
     JobTimeline &timeline = found->second;
+    if (event == "assigned" || event == "job-ended") {
+        lastDecision_ = time;
+    }
     const bool completes = fieldText(fields, "state") == "completed";
     if (event == "room-cleared" && fieldNumber<std::int64_t>(fields, "victims") > 0) {
         timeline.preemptedOthers_ = true;
     } else if (event == "assigned") {
-        timeline.assigned_[fieldText(fields, "step")].push_back(time);
+        addAssignment(timeline, time, fields);
     } else if (event == "job-ended" && completes && !timeline.completed_) {
         timeline.completed_ = time;
         ++completed_;
     } else if (event == "end-shown" && completes && !timeline.shown_) {
         timeline.shown_ = time;
+    } else if (event == "cancel-stored") {
+        timeline.owed_ = false;
+    }
+}
+
+void LatenessReport::addAssignment(JobTimeline &timeline, milliseconds time, const Fields &fields)
+{
+    Assignment assignment{time, "," + fieldText(fields, "places") + ","};
+    if (fields.contains("rack_slowdown")) {
+        assignment.rackSlowdown_ = std::max(fieldNumber<double>(fields, "rack_slowdown"), 1.0);
+    }
+    timeline.assigned_[fieldText(fields, "step")].push_back(std::move(assignment));
+}
+
+double LatenessReport::rackSlowdownOf(const JobTimeline &timeline, const std::string &task, const Run &run, const std::string &executor)
+{
+    const auto step = timeline.assigned_.find(std::to_string(stepOf(task).second));
+    if (step == timeline.assigned_.end()) {
+        return 1;
     }
+    const auto assignment = std::find_if(step->second.rbegin(), step->second.rend(), [&](const Assignment &candidate) {
+        return candidate.time_ <= run.started_ && candidate.places_.find("," + executor + ",") != std::string::npos;
+    });
+    return assignment == step->second.rend() ? 1 : assignment->rackSlowdown_;
+}
+
+void LatenessReport::addLeader(milliseconds time)
+{
+    leaderlessSince_ = lastDecision_;
+    leaderSince_ = time;
 }
 
 void LatenessReport::addCall(milliseconds time, const Fields &fields)
@@ -162,6 +215,8 @@
     timeline.priority_ = fieldNumber<std::int32_t>(fields, "priority");
     timeline.stretch_ = fieldNumber<double>(fields, "stretch");
     timeline.target_ = milliseconds(fieldNumber<std::int64_t>(fields, "target_ms"));
+    timeline.gang_ = fieldText(fields, "gang") == "yes";
+    timeline.owed_ = timeline.owed_ && fieldText(fields, "long_running") != "yes" && fieldNumber<std::int64_t>(fields, "repeats") == 0;
     timeline.knownAt_ = time;
     timeline.accepted_ = time - milliseconds(fieldNumber<std::int64_t>(fields, "age_ms"));
 }
@@ -179,7 +234,7 @@
     const std::string event = fieldText(fields, "event");
     auto &runs = timeline->second.runs_[name.substr(0, slash)];
     if (event == "started") {
-        runs.try_emplace(number, Run{time, milliseconds(0), ""});
+        runs.try_emplace(number).first->second.started_ = time;
         return;
     }
     const auto run = runs.find(number);
@@ -187,34 +242,108 @@
         return;
     }
     if (event == "run-ended" || event == "run-settled") {
-        run->second.ended_ = time;
-        run->second.outcome_ = event == "run-ended" ? fieldText(fields, "how") : "settled";
+        run->second.rackSlowdown_ = rackSlowdownOf(timeline->second, name, run->second, fieldText(fields, "executor"));
+        addEnd(run->second, std::min(time, timeline->second.completed_.value_or(time)), fields);
+        lastDecision_ = time;
+    }
+}
+
+void LatenessReport::addEnd(Run &run, milliseconds time, const Fields &fields) const
+{
+    const std::string executor = fieldText(fields, "executor");
+    const auto host = hosts_.find(executor);
+    run.host_ = host == hosts_.end() ? executor : host->second;
+    run.outcome_ = fieldText(fields, "event") == "run-ended" ? fieldText(fields, "how") : "settled";
+    run.ended_ = time;
+    run.worked_ = time - run.started_;
+    if (run.started_ < leaderSince_ && time < leaderSince_ + leaderStartSpan) {
+        run.worked_ = (std::max(leaderlessSince_ - run.started_, milliseconds(0)) + run.worked_) / 2;
     }
 }
 
-milliseconds LatenessReport::executionTime(const Runs &runs)
+HostFit LatenessReport::fitHosts() const
 {
-    milliseconds work(0);
+    HostFit fit;
+    for (const auto &[id, timeline] : timelines_) {
+        if (timeline.gang_) {
+            continue;
+        }
+        for (const auto &[task, runs] : timeline.runs_) {
+            for (const auto &[number, run] : runs) {
+                if (run.outcome_ == "done" && run.rackSlowdown_ <= 1) {
+                    fit.addRun(stepName(task), run.host_, run.worked_);
+                }
+            }
+        }
+    }
+    fit.solve();
+    return fit;
+}
+
+std::string LatenessReport::slowestHostOf(const JobTimeline &timeline, const std::string &step, std::uint32_t number, const Run &run, const HostFit &fit)
+{
+    std::string slowest = run.host_;
+    if (!timeline.gang_) {
+        return slowest;
+    }
+    for (const auto &[task, runs] : timeline.runs_) {
+        const auto member = runs.find(number);
+        if (member != runs.end() && stepName(task) == step && fit.slowness(member->second.host_) > fit.slowness(slowest)) {
+            slowest = member->second.host_;
+        }
+    }
+    return slowest;
+}
+
+LatenessReport::ChainTime LatenessReport::taskTime(const JobTimeline &timeline, const std::string &task, const Runs &runs, const HostFit &fit)
+{
+    ChainTime time;
     for (const auto &[number, run] : runs) {
-        if (run.outcome_ == "done" || run.outcome_ == "failed") {
-            work += run.ended_ - run.started_;
+        if (run.outcome_ != "done" && run.outcome_ != "failed") {
+            continue;
         }
+        const std::string host = slowestHostOf(timeline, stepName(task), number, run, fit);
+        const auto nearData = std::chrono::duration_cast<milliseconds>(run.worked_ / run.rackSlowdown_);
+        const auto sound = std::chrono::duration_cast<milliseconds>(nearData / fit.slowness(host));
+        time.sound_ += sound;
+        time.lost_ += nearData - sound;
+        time.lostToRack_ += run.worked_ - nearData;
+        time.slowestHost_ = host;
     }
-    return work;
+    time.mostLost_ = time.lost_;
+    return time;
 }
 
-milliseconds LatenessReport::objectiveOf(const JobTimeline &timeline)
+LatenessReport::ChainTime LatenessReport::chainOf(const JobTimeline &timeline, const HostFit &fit)
 {
-    std::map<std::string, milliseconds> longestByStep; // the tasks of a step run in parallel
+    std::map<std::string, milliseconds> soundByStep;
+    std::map<std::string, ChainTime> longestByStep;
     for (const auto &[task, runs] : timeline.runs_) {
-        milliseconds &step = longestByStep[task.substr(0, task.rfind('.'))];
-        step = std::max(step, executionTime(runs));
+        const ChainTime time = taskTime(timeline, task, runs, fit);
+        milliseconds &sound = soundByStep[stepName(task)];
+        sound = std::max(sound, time.sound_);
+        ChainTime &longest = longestByStep[stepName(task)];
+        if (time.whole() > longest.whole()) {
+            longest = time;
+        }
     }
-    milliseconds totalStepTime(0);
-    for (const auto &[step, work] : longestByStep) {
-        totalStepTime += work;
+    ChainTime chain;
+    for (const auto &[step, time] : longestByStep) {
+        const milliseconds lost = time.sound_ + time.lost_ - soundByStep[step];
+        chain.sound_ += soundByStep[step];
+        chain.lost_ += lost;
+        chain.lostToRack_ += time.lostToRack_;
+        if (lost > chain.mostLost_) {
+            chain.mostLost_ = lost;
+            chain.slowestHost_ = time.slowestHost_;
+        }
     }
-    return std::chrono::duration_cast<milliseconds>(totalStepTime * timeline.stretch_) + timeline.target_;
+    return chain;
+}
+
+milliseconds LatenessReport::objectiveOf(const JobTimeline &timeline, const ChainTime &chain)
+{
+    return std::chrono::duration_cast<milliseconds>(chain.sound_ * timeline.stretch_) + timeline.target_;
 }
 
 milliseconds LatenessReport::readyTime(const JobTimeline &timeline, const std::string &task)
@@ -234,8 +363,9 @@
     const milliseconds known = std::clamp(timeline.knownAt_, ready, std::max(ready, started));
     milliseconds assigned = started;
     if (const auto found = timeline.assigned_.find(std::to_string(stepOf(task).second)); found != timeline.assigned_.end()) {
-        const auto later = std::upper_bound(found->second.begin(), found->second.end(), started);
-        assigned = later == found->second.begin() ? started : std::max(*std::prev(later), known);
+        const auto later = std::upper_bound(
+            found->second.begin(), found->second.end(), started, [](milliseconds time, const Assignment &assignment) { return time < assignment.time_; });
+        assigned = later == found->second.begin() ? started : std::max(std::prev(later)->time_, known);
     }
     lost[LossCause::UntilKnown] += known - ready;
     lost[timeline.preemptedOthers_ ? LossCause::WaitedForPreemption : LossCause::WaitedForCapacity] += assigned - known;
@@ -266,31 +396,51 @@
         }
         before = run.ended_;
     }
-    lost[LossCause::UntilShown] = timeline.end() - *before;
+    const Run &lastRun = last->second.rbegin()->second;
+    lost[LossCause::UntilShown] = timeline.end() - lastRun.started_ - lastRun.worked_;
     return lost;
 }
 
-std::vector<LateJob> LatenessReport::lateJobs() const
+LateJob LatenessReport::describe(const std::string &id, const JobTimeline &timeline, const ChainTime &chain, const HostFit &fit)
 {
     /// Shorter delays are ordinary message latency.
     constexpr milliseconds minReportedLoss{100};
+    LateJob job;
+    job.job_ = id;
+    job.workspace_ = timeline.workspace_;
+    job.priority_ = timeline.priority_;
+    job.turnaround_ = timeline.end() - timeline.begin();
+    job.objective_ = objectiveOf(timeline, chain);
+    job.shown_ = timeline.shown_.has_value();
+    job.lostTime_ = lostTimeOf(timeline);
+    if (chain.mostLost_ >= minReportedLoss) {
+        job.lostTime_[LossCause::SlowMember] = chain.lost_;
+        job.slowestHost_ = chain.slowestHost_;
+        job.slowness_ = fit.slowness(chain.slowestHost_);
+    }
+    if (chain.lostToRack_ >= minReportedLoss) {
+        job.lostTime_[LossCause::AwayFromRack] = chain.lostToRack_;
+    }
+    const auto largest
+        = std::max_element(job.lostTime_.begin(), job.lostTime_.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    if (largest != job.lostTime_.end() && largest->second >= minReportedLoss) {
+        job.cause_ = largest->first;
+    }
+    return job;
+}
+
+std::vector<LateJob> LatenessReport::lateJobs() const
+{
+    const HostFit fit = fitHosts();
     std::vector<LateJob> late;
     for (const auto &[id, timeline] : timelines_) {
-        if (!timeline.known_ || !timeline.completed_ || timeline.runs_.empty()) {
-            continue;
-        }
-        const milliseconds objective = objectiveOf(timeline);
-        const milliseconds turnaround = timeline.end() - timeline.begin();
-        if (turnaround <= objective) {
+        if (!timeline.known_ || !timeline.owed_ || !timeline.completed_ || timeline.runs_.empty()) {
             continue;
         }
-        LateJob job{id, timeline.workspace_, timeline.priority_, turnaround, objective, lostTimeOf(timeline), LossCause::Slow};
-        const auto largest
-            = std::max_element(job.lostTime_.begin(), job.lostTime_.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
-        if (largest != job.lostTime_.end() && largest->second >= minReportedLoss) {
-            job.cause_ = largest->first;
+        const ChainTime chain = chainOf(timeline, fit);
+        if (timeline.end() - timeline.begin() > objectiveOf(timeline, chain)) {
+            late.push_back(describe(id, timeline, chain, fit));
         }
-        late.push_back(std::move(job));
     }
     return late;
 }
--- a/tests/unit/batch_rack_test.cpp
+++ b/tests/unit/batch_rack_test.cpp
@@ -1,6 +1,8 @@
 #include "batch/leader_bench.h"
 #include "support/expect.h"
 
+#include <algorithm>
+
 namespace bergamotwick::test {
 
 /// Tests rack locality: how long work waits for its rack, and which work is preempted for it.
@@ -9,6 +11,7 @@
     CPPUNIT_TEST_SUITE(BatchRackTest);
     CPPUNIT_TEST(gangWaitsForTheRackOfItsVictims);
     CPPUNIT_TEST(gangThatFitsNoRackIsSpreadImmediately);
+    CPPUNIT_TEST(assignmentTellsWhetherRacksSlowItDown);
     CPPUNIT_TEST(gangPrefersTheRackWithFewestFreeAccelerators);
     CPPUNIT_TEST(newLeaderDiscoversExecutorsBeforeSpreadingAGang);
     CPPUNIT_TEST(urgentTaskPreemptsOnTheRackOfItsData);
@@ -43,6 +46,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.running("urgent").size());
     }
 
+    void assignmentTellsWhetherRacksSlowItDown()
+    {
+        for (const auto &[racks, slowdown] :
+             {std::pair(std::vector<std::string>{"r1", "r2"}, "3.000000"), std::pair(std::vector<std::string>{"r1", "r1"}, "1.000000")}) {
+            LeaderBench bench(2);
+            assignRacks(bench, racks);
+            bench.submit(sameRackGang("urgent", 2));
+            bench.advanceTime(300ms);
+            const std::vector<batch::LogEvent> assigned = bench.logged("assigned");
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, assigned.size());
+            const std::pair<std::string, std::string> expected("rack_slowdown", slowdown);
+            CPPUNIT_ASSERT(std::find(assigned.front().fields_.begin(), assigned.front().fields_.end(), expected) != assigned.front().fields_.end());
+        }
+    }
+
     void gangPrefersTheRackWithFewestFreeAccelerators()
     {
         LeaderBench bench(5);
--- a/tests/unit/lateness_test.cpp
+++ b/tests/unit/lateness_test.cpp
@@ -20,6 +20,11 @@
     CPPUNIT_TEST(timeCountsUntilAnAnswerShowsTheEnd);
     CPPUNIT_TEST(delayedOrderIsReported);
     CPPUNIT_TEST(waitOfALaterStepBeginsWithTheEndOfTheEarlierOne);
+    CPPUNIT_TEST(workIsMeasuredOnASoundHost);
+    CPPUNIT_TEST(slowMemberOfAGangIsNamed);
+    CPPUNIT_TEST(workAwayFromItsRackIsMeasuredNearIt);
+    CPPUNIT_TEST(endBeforeANewLeaderIsTakenToLieBetween);
+    CPPUNIT_TEST(cancelledAndRepeatedJobsAreLeftOut);
     CPPUNIT_TEST(unrelatedLinesAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -128,6 +133,72 @@
         CPPUNIT_ASSERT_EQUAL(milliseconds(4'000).count(), late.lostTime_.at(LossCause::WaitedForCapacity).count());
     }
 
+    void workIsMeasuredOnASoundHost()
+    {
+        logFleetWithOneSlowHost();
+        logJobKnown();
+        logRun("00.100", "06.100", "done", "i-3"); // 2 s of work
+        logCompleted("06.100");
+        const report::LateJob late = onlyLateJob();
+        CPPUNIT_ASSERT(late.cause_ == LossCause::SlowMember);
+        CPPUNIT_ASSERT_EQUAL(std::string("side-3"), late.slowestHost_);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, late.slowness_, 0.05);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3'250.0, static_cast<double>(late.objective_.count()), 50.0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4'000.0, static_cast<double>(late.lostTime_.at(LossCause::SlowMember).count()), 50.0);
+    }
+
+    void slowMemberOfAGangIsNamed()
+    {
+        logFleetWithOneSlowHost();
+        logJobKnown("gang=yes repeats=0");
+        logLine("00.100", "event=started run=a1.0.0.0/1");
+        logLine("00.100", "event=started run=a1.0.0.1/1");
+        logLine("06.100", "event=run-ended run=a1.0.0.0/1 how=done executor=i-1");
+        logLine("06.100", "event=run-ended run=a1.0.0.1/1 how=done executor=i-3");
+        logCompleted("06.100");
+        const report::LateJob late = onlyLateJob();
+        CPPUNIT_ASSERT(late.cause_ == LossCause::SlowMember);
+        CPPUNIT_ASSERT_EQUAL(std::string("side-3"), late.slowestHost_);
+        CPPUNIT_ASSERT(!late.shown_);
+    }
+
+    void workAwayFromItsRackIsMeasuredNearIt()
+    {
+        logJobKnown();
+        logLine("00.050", "event=assigned job=a1 step=0 tasks=1 places=\"i-1,i-2\" rack_slowdown=3.000000");
+        logRun("00.100", "06.100", "done", "i-2");
+        logCompleted("06.100");
+        const report::LateJob late = onlyLateJob();
+        CPPUNIT_ASSERT(late.cause_ == LossCause::AwayFromRack);
+        CPPUNIT_ASSERT_EQUAL(milliseconds(3'250).count(), late.objective_.count());
+    }
+
+    void endBeforeANewLeaderIsTakenToLieBetween()
+    {
+        logJobKnown();
+        logLine("00.050", "event=assigned job=a1 step=0 tasks=1 places=i-1");
+        logLine("00.100", "event=started run=a1.0.0.0/1");
+        logLine("00.100", "event=run-ended run=other.0.0.0/1 how=done executor=i-2");
+        logLine("04.000", "event=leader-won epoch=2");
+        logLine("04.100", "event=run-ended run=a1.0.0.0/1 how=done executor=i-1");
+        logCompleted("04.100");
+        CPPUNIT_ASSERT_EQUAL(milliseconds(3'250).count(), onlyLateJob().objective_.count()); // 2 s of at most 4 s
+    }
+
+    void cancelledAndRepeatedJobsAreLeftOut()
+    {
+        logJobKnown("gang=no repeats=3");
+        logRun("03.000", "05.000", "done");
+        logCompleted("05.000");
+        CPPUNIT_ASSERT(report_.lateJobs().empty());
+        logLine("06.000", "event=job-known job=b2 workspace=jury priority=0 stretch=1.500000 target_ms=250 age_ms=0");
+        logLine("09.000", "event=started run=b2.0.0.0/1");
+        logLine("09.500", "event=cancel-stored job=b2 applied=yes job_stored=yes");
+        logLine("11.000", "event=run-ended run=b2.0.0.0/1 how=done executor=i-1");
+        logLine("11.000", "event=job-ended job=b2 state=completed reason=all-done");
+        CPPUNIT_ASSERT(report_.lateJobs().empty());
+    }
+
     void unrelatedLinesAreIgnored()
     {
         report_.addLine("");
@@ -144,15 +215,32 @@
         report_.addLine("  -4.9426 front-1 time=2026-01-03T14:35:" + second + "+00:00 level=info " + text);
     }
 
-    void logJobKnown()
+    void logJobKnown(const std::string &kind = "gang=no repeats=0")
+    {
+        logLine("00.000", "event=job-known job=a1 workspace=jury priority=0 " + kind + " constraint=\"\" stretch=1.500000 target_ms=250 age_ms=0");
+    }
+
+    /// Logs a job of three steps in time, whose tasks take three times as long on side-3 as on side-1 and side-2.
+    void logFleetWithOneSlowHost()
     {
-        logLine("00.000", "event=job-known job=a1 workspace=jury priority=0 constraint=\"\" stretch=1.500000 target_ms=250 age_ms=0");
+        logLine("00.000", "event=job-known job=fleet workspace=jury priority=2 gang=no repeats=0 stretch=9.000000 target_ms=250 age_ms=0");
+        for (int host = 1; host <= 3; ++host) {
+            const std::string name = std::to_string(host);
+            logLine("00.000", "event=executor-seen executor=i-" + name + " born=1 agent=side-" + name);
+            for (int step = 0; step < 3; ++step) {
+                const std::string run = "run=fleet.0." + std::to_string(step) + "." + name + "/1";
+                const int time = (host == 3 ? 300 : 100) * (step + 1);
+                logLine("00.000", "event=started " + run);
+                logLine("00." + std::to_string(time), "event=run-ended " + run + " how=done executor=i-" + name);
+            }
+        }
+        logLine("00.900", "event=job-ended job=fleet state=completed reason=all-done");
     }
 
-    void logRun(const std::string &from, const std::string &to, const std::string &outcome)
+    void logRun(const std::string &from, const std::string &to, const std::string &outcome, const std::string &executor = "i-1")
     {
         logLine(from, "event=started run=a1.0.0.0/1");
-        logLine(to, "event=run-ended run=a1.0.0.0/1 how=" + outcome + " executor=i-1");
+        logLine(to, "event=run-ended run=a1.0.0.0/1 how=" + outcome + " executor=" + executor);
     }
 
     void logCompleted(const std::string &second)
