report late counts restored and repeated work right

Cause: of a run restored from a checkpoint only the last part counted as work, so that jobs in time were named; a job whose end wasn't stored, and was done again by the next leader, had an objective of nothing but its target.

Change: assigned says restored, run-ended says initial_percent; a restored run counts as the whole work. Work done again counts once.

--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -297,7 +297,8 @@
                       {"waited_ms", std::to_string(waited.count())},
                       {"report_age_ms", std::to_string(oldestReportAge(cluster, placement).count())},
                       {"priority", std::to_string(job.settings_.priority_)},
-                      {"rack_slowdown", std::to_string(rackSlowdown(cluster, step, used))}});
+                      {"rack_slowdown", std::to_string(rackSlowdown(cluster, step, used))},
+                      {"restored", gangCheckpoint.empty() ? "no" : "yes"}});
 }
 
 /// Returns whether a suspected task of \p group still waits for an executor of its own.
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -106,7 +106,11 @@
     if (end.kind_ == EndKind::Done && !longRunning) {
         recordRunTime(cluster, job, cluster.runs_.at(run));
     }
-    cluster.logEvent("run-ended", {{"run", toString(run)}, {"how", toString(end.kind_)}, {"executor", executor.info_.incarnation_.executor_.str()}});
+    cluster.logEvent("run-ended",
+                     {{"run", toString(run)},
+                      {"how", toString(end.kind_)},
+                      {"executor", executor.info_.incarnation_.executor_.str()},
+                      {"initial_percent", std::to_string(cluster.runs_.at(run).initialPercent_)}});
     if (end.kind_ != EndKind::Done) {
         countSpentStart(cluster, cluster.runs_.at(run));
     }
--- a/src/core/report/lateness.cpp
+++ b/src/core/report/lateness.cpp
@@ -177,19 +177,20 @@
     if (fields.contains("rack_slowdown")) {
         assignment.rackSlowdown_ = std::max(fieldNumber<double>(fields, "rack_slowdown"), 1.0);
     }
+    assignment.restored_ = fieldText(fields, "restored") == "yes";
     timeline.assigned_[fieldText(fields, "step")].push_back(std::move(assignment));
 }
 
-double LatenessReport::rackSlowdownOf(const JobTimeline &timeline, const std::string &task, const Run &run, const std::string &executor)
+LatenessReport::Assignment LatenessReport::assignmentOf(const JobTimeline &timeline, const std::string &task, const Run &run, const std::string &executor)
 {
     const auto step = timeline.assigned_.find(std::to_string(stepOf(task).second));
     if (step == timeline.assigned_.end()) {
-        return 1;
+        return {};
     }
     const auto assignment = std::find_if(step->second.rbegin(), step->second.rend(), [&](const Assignment &candidate) {
         return candidate.time_ <= run.started_ && candidate.places_.find("," + executor + ",") != std::string::npos;
     });
-    return assignment == step->second.rend() ? 1 : assignment->rackSlowdown_;
+    return assignment == step->second.rend() ? Assignment() : *assignment;
 }
 
 void LatenessReport::addLeader(milliseconds time)
@@ -242,18 +243,23 @@
         return;
     }
     if (event == "run-ended" || event == "run-settled") {
-        run->second.rackSlowdown_ = rackSlowdownOf(timeline->second, name, run->second, fieldText(fields, "executor"));
-        addEnd(run->second, std::min(time, timeline->second.completed_.value_or(time)), fields);
+        const Assignment assignment = assignmentOf(timeline->second, name, run->second, fieldText(fields, "executor"));
+        const bool endsACompletedJob = timeline->second.completed_.value_or(milliseconds(0)) > run->second.started_; // a further member of its gang
+        addEnd(run->second, assignment, endsACompletedJob ? *timeline->second.completed_ : time, fields);
         lastDecision_ = time;
     }
 }
 
-void LatenessReport::addEnd(Run &run, milliseconds time, const Fields &fields) const
+void LatenessReport::addEnd(Run &run, const Assignment &assignment, milliseconds time, const Fields &fields) const
 {
     const std::string executor = fieldText(fields, "executor");
     const auto host = hosts_.find(executor);
     run.host_ = host == hosts_.end() ? executor : host->second;
     run.outcome_ = fieldText(fields, "event") == "run-ended" ? fieldText(fields, "how") : "settled";
+    run.rackSlowdown_ = assignment.rackSlowdown_;
+    if (assignment.restored_ && run.started_ >= leaderSince_) { // a later leader first lists it in the middle of its work
+        run.restoredPercent_ = fieldNumber<std::int32_t>(fields, "initial_percent");
+    }
     run.ended_ = time;
     run.worked_ = time - run.started_;
     if (run.started_ < leaderSince_ && time < leaderSince_ + leaderStartSpan) {
@@ -270,7 +276,7 @@
         }
         for (const auto &[task, runs] : timeline.runs_) {
             for (const auto &[number, run] : runs) {
-                if (run.outcome_ == "done" && run.rackSlowdown_ <= 1) {
+                if (run.outcome_ == "done" && run.rackSlowdown_ <= 1 && shareOfWork(runs, run) >= 1) {
                     fit.addRun(stepName(task), run.host_, run.worked_);
                 }
             }
@@ -295,6 +301,14 @@
     return slowest;
 }
 
+double LatenessReport::shareOfWork(const Runs &runs, const Run &run)
+{
+    constexpr std::int32_t maxRestoredPercent = 90; // nearer to the end, the share is too inexact to divide by
+    const bool isRestored = std::any_of(
+        runs.begin(), runs.end(), [&run](const auto &entry) { return entry.second.outcome_ == "stopped" && entry.second.started_ < run.started_; });
+    return isRestored ? 1 - std::clamp(run.restoredPercent_, 0, maxRestoredPercent) / 100.0 : 1;
+}
+
 LatenessReport::ChainTime LatenessReport::taskTime(const JobTimeline &timeline, const std::string &task, const Runs &runs, const HostFit &fit)
 {
     ChainTime time;
@@ -305,10 +319,13 @@
         const std::string host = slowestHostOf(timeline, stepName(task), number, run, fit);
         const auto nearData = std::chrono::duration_cast<milliseconds>(run.worked_ / run.rackSlowdown_);
         const auto sound = std::chrono::duration_cast<milliseconds>(nearData / fit.slowness(host));
-        time.sound_ += sound;
+        time.sound_ += std::chrono::duration_cast<milliseconds>(sound / shareOfWork(runs, run));
         time.lost_ += nearData - sound;
         time.lostToRack_ += run.worked_ - nearData;
         time.slowestHost_ = host;
+        if (run.outcome_ == "done") {
+            break; // a later run did the work again, since this end wasn't stored
+        }
     }
     time.mostLost_ = time.lost_;
     return time;
--- a/src/core/report/lateness.h
+++ b/src/core/report/lateness.h
@@ -79,6 +79,7 @@
         std::string outcome_; ///< empty while the run is in progress
         std::string host_; ///< known once it has ended
         double rackSlowdown_ = 1; ///< how many times as long it takes on its racks; known once it has ended
+        std::int32_t restoredPercent_ = 0; ///< the part of its task that was restored from a checkpoint; known once it has ended
     };
 
     /// The work of a job's longest tasks, and what slow hosts added to it.
@@ -104,6 +105,7 @@
         milliseconds time_{0};
         std::string places_; ///< executors, each followed by a comma and preceded by one
         double rackSlowdown_ = 1;
+        bool restored_ = false; ///< tasks continue from checkpoints
     };
 
     struct JobTimeline
@@ -146,8 +148,10 @@
     void addCall(milliseconds time, const Fields &fields);
     static void addKnown(JobTimeline &timeline, milliseconds time, const Fields &fields);
     static void addAssignment(JobTimeline &timeline, milliseconds time, const Fields &fields);
-    void addEnd(Run &run, milliseconds time, const Fields &fields) const;
-    [[nodiscard]] static double rackSlowdownOf(const JobTimeline &timeline, const std::string &task, const Run &run, const std::string &executor);
+    void addEnd(Run &run, const Assignment &assignment, milliseconds time, const Fields &fields) const;
+
+    /// Returns the assignment of \p run of \p task to \p executor; one without anything special if it isn't known.
+    [[nodiscard]] static Assignment assignmentOf(const JobTimeline &timeline, const std::string &task, const Run &run, const std::string &executor);
     void addLeader(milliseconds time);
 
     /// Returns what the runs tell of the hosts' slowness.
@@ -156,6 +160,9 @@
     /// Returns the run number \p number of \p step of the gang \p timeline that has the slowest host, for \p run of one of its members.
     [[nodiscard]] static std::string
     slowestHostOf(const JobTimeline &timeline, const std::string &step, std::uint32_t number, const Run &run, const HostFit &fit);
+
+    /// Returns which share of its task's work \p run has done: less than 1 if it was restored from the checkpoint of a run before, one of \p runs.
+    [[nodiscard]] static double shareOfWork(const Runs &runs, const Run &run);
     [[nodiscard]] static ChainTime taskTime(const JobTimeline &timeline, const std::string &task, const Runs &runs, const HostFit &fit);
 
     /// Returns the time of the longest tasks of each step, whose tasks run in parallel.
--- a/tests/unit/lateness_test.cpp
+++ b/tests/unit/lateness_test.cpp
@@ -23,7 +23,9 @@
     CPPUNIT_TEST(workIsMeasuredOnASoundHost);
     CPPUNIT_TEST(slowMemberOfAGangIsNamed);
     CPPUNIT_TEST(workAwayFromItsRackIsMeasuredNearIt);
+    CPPUNIT_TEST(runRestoredFromACheckpointCountsAsTheWholeWork);
     CPPUNIT_TEST(endBeforeANewLeaderIsTakenToLieBetween);
+    CPPUNIT_TEST(workDoneAgainCountsOnce);
     CPPUNIT_TEST(cancelledAndRepeatedJobsAreLeftOut);
     CPPUNIT_TEST(unrelatedLinesAreIgnored);
     CPPUNIT_TEST_SUITE_END();
@@ -173,6 +175,18 @@
         CPPUNIT_ASSERT_EQUAL(milliseconds(3'250).count(), late.objective_.count());
     }
 
+    void runRestoredFromACheckpointCountsAsTheWholeWork()
+    {
+        logJobKnown();
+        logRun("00.100", "03.100", "stopped");
+        logLine("04.000", "event=assigned job=a1 step=0 tasks=1 places=i-1 rack_slowdown=1.000000 restored=yes");
+        logLine("04.100", "event=started run=a1.0.0.0/2");
+        logLine("06.100", "event=run-ended run=a1.0.0.0/2 how=done executor=i-1 initial_percent=60");
+        logCompleted("06.100");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report_.completed());
+        CPPUNIT_ASSERT(report_.lateJobs().empty()); // 5 s of work: 7.75 s are in time
+    }
+
     void endBeforeANewLeaderIsTakenToLieBetween()
     {
         logJobKnown();
@@ -185,6 +199,17 @@
         CPPUNIT_ASSERT_EQUAL(milliseconds(3'250).count(), onlyLateJob().objective_.count()); // 2 s of at most 4 s
     }
 
+    void workDoneAgainCountsOnce()
+    {
+        logJobKnown();
+        logRun("00.100", "02.100", "done");
+        logCompleted("02.100"); // wasn't stored
+        logLine("04.100", "event=started run=a1.0.0.0/2");
+        logLine("07.100", "event=run-ended run=a1.0.0.0/2 how=done executor=i-1");
+        logLine("07.200", "event=end-shown job=a1 state=completed");
+        CPPUNIT_ASSERT_EQUAL(milliseconds(3'250).count(), onlyLateJob().objective_.count());
+    }
+
     void cancelledAndRepeatedJobsAreLeftOut()
     {
         logJobKnown("gang=no repeats=3");
