--- a/src/node/forwarding.cpp
+++ b/src/node/forwarding.cpp
@@ -66,6 +66,7 @@
 std::vector<std::string> Forwarder::orderOf(const std::map<std::string, Address> &entries)
 {
     std::vector<std::string> names;
+    names.reserve(entries.size());
     for (const auto &[name, address] : entries) {
         names.push_back(name);
     }
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -78,6 +78,17 @@
         []() -> std::optional<Answer> { return answerWithStatus(platform::statusBadRequest); });
 }
 
+/// Returns the transaction that stores \p submission with the settings of \p queue, unless it is stored or has been cancelled.
+platform::Transaction makeTransaction(const batch::Submission &submission, const batch::Queue &queue, std::size_t maxRecordBytes)
+{
+    const std::string id = submission.id_.str();
+    const std::string record = batch::isFolded(submission, maxRecordBytes) ? batch::encodeLong(submission) : batch::encode(submission);
+    platform::Transaction transaction;
+    transaction.expected_ = {{keys::jobs + id, 0}, {keys::cancels + id, 0}};
+    transaction.puts_ = {{keys::jobs + id, record, 0}, {keys::settings + id, batch::encode(batch::AcceptedSettings{submission.id_, queue}), 0}};
+    return transaction;
+}
+
 /// Returns whether \p result of storing a job under \p jobKey shows that the job was cancelled before it was stored.
 bool isCancelledBefore(const platform::TransactionResult &result, const std::string &jobKey)
 {
@@ -246,12 +257,8 @@
     if (auto refusal = refuseExcess(submission, maxRecordBytes_)) {
         return *refusal;
     }
-    platform::Transaction transaction;
     const std::string key = keys::jobs + request.id_;
-    transaction.expected_ = {{key, 0}, {keys::cancels + request.id_, 0}};
-    const std::string record = batch::isFolded(submission, maxRecordBytes_) ? batch::encodeLong(submission) : batch::encode(submission);
-    const batch::AcceptedSettings settings{submission.id_, *request.queue_};
-    transaction.puts_ = {{key, record, 0}, {keys::settings + request.id_, batch::encode(settings), 0}};
+    const platform::Transaction transaction = makeTransaction(submission, *request.queue_, maxRecordBytes_);
     bool mayBeStored = false;
     for (std::size_t round = 0; round == 0 || request.remaining().count() > 0; ++round) {
         const int status = leaf::try_handle_all(
