--- a/tests/unit/lateness_test.cpp
+++ b/tests/unit/lateness_test.cpp
@@ -3,6 +3,9 @@
 #include "core/report/lateness.h"
 #include "support/expect.h"
 
+#include <array>
+#include <utility>
+
 namespace bergamotwick::test {
 
 using report::LossCause;
@@ -249,14 +252,14 @@
     void logFleetWithOneSlowHost()
     {
         logLine("00.000", "event=job-known job=fleet workspace=jury priority=2 gang=no repeats=0 stretch=9.000000 target_ms=250 age_ms=0");
-        for (int host = 1; host <= 3; ++host) {
-            const std::string name = std::to_string(host);
-            logLine("00.000", "event=executor-seen executor=i-" + name + " born=1 agent=side-" + name);
-            for (int step = 0; step < 3; ++step) {
-                const std::string run = "run=fleet.0." + std::to_string(step) + "." + name + "/1";
-                const int time = (host == 3 ? 300 : 100) * (step + 1);
-                logLine("00.000", "event=started " + run);
-                logLine("00." + std::to_string(time), "event=run-ended " + run + " how=done executor=i-" + name);
+        for (const auto &[host, ends] : {std::pair("1", std::array{"100", "200", "300"}),
+                                         std::pair("2", std::array{"100", "200", "300"}),
+                                         std::pair("3", std::array{"300", "600", "900"})}) {
+            logLine("00.000", std::string("event=executor-seen born=1 executor=i-").append(host).append(" agent=side-").append(host));
+            for (std::size_t step = 0; step < ends.size(); ++step) {
+                const std::string run = std::string(" run=fleet.0.").append(std::to_string(step)).append(".").append(host).append("/1");
+                logLine("00.000", "event=started" + run);
+                logLine(std::string("00.").append(ends.at(step)), std::string("event=run-ended how=done executor=i-").append(host).append(run));
             }
         }
         logLine("00.900", "event=job-ended job=fleet state=completed reason=all-done");
