Gangs with few attempts are cautious with the first one only while executors are in quarantine

Cause: sound executors fail a task now and then, so that some executor is always suspect; a gang of two attempts then took proven executors before those that suit it, without any failing executor in the fleet. What failing executors show, a quarantine, is the condition now.

--- a/src/core/batch/health.cpp
+++ b/src/core/batch/health.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds maxWaitForUnsuspected{1'400};
 constexpr milliseconds maxWaitOfLastForUnsuspected{2'000};
 
-/// Gangs with at most this many attempts avoid suspect executors with the first one: any member's failure is that of all.
+/// Gangs with at most this many attempts are cautious with the first one while executors are in quarantine: any member's failure is that of all.
 constexpr std::int32_t fewAttempts = 2;
 
 /// At most one executor in this many is in quarantine.
@@ -51,7 +51,7 @@
     return excluded != job.excludedExecutors_.end() && excluded->second.contains(executor);
 }
 
-bool isCautiousGang(const Job &job, const Step &step)
+bool hasFewAttempts(const Job &job, const Step &step)
 {
     return step.gang_ && !step.longRunning_ && job.settings_.maxAttempts_ <= fewAttempts;
 }
@@ -139,15 +139,20 @@
 {
     const Job &job = *group.job_;
     const auto hasFailed = [&job](std::size_t task) { return !job.progress_.tasks_[task].failedRuns_.empty(); };
-    return isCautiousGang(job, job.submission_.steps_[group.group_.step_]) || std::any_of(group.tasks_.begin(), group.tasks_.end(), hasFailed);
+    return group.isCautious_ || std::any_of(group.tasks_.begin(), group.tasks_.end(), hasFailed);
 }
 
-bool mayExpectProven(const ClusterState &cluster, const WaitingGroup &group)
+void assessHealth(const ClusterState &cluster, WaitingGroup &group)
 {
-    const ServiceId &service = group.job_->submission_.service_;
-    return prefersProven(group) && std::any_of(cluster.executors_.begin(), cluster.executors_.end(), [&](const auto &entry) {
-               return entry.second.info_.service_ == service && isProven(cluster, entry.second);
-           });
+    const Job &job = *group.job_;
+    const auto hasExecutor = [&](const auto &predicate) {
+        return std::any_of(cluster.executors_.begin(), cluster.executors_.end(), [&](const auto &entry) {
+            return entry.second.info_.service_ == job.submission_.service_ && predicate(entry.second);
+        });
+    };
+    group.isCautious_ = hasFewAttempts(job, job.submission_.steps_[group.group_.step_])
+        && hasExecutor([&](const Executor &executor) { return executor.quarantinedUntil_ > cluster.now_; });
+    group.mayExpectProven_ = prefersProven(group) && hasExecutor([&](const Executor &executor) { return isProven(cluster, executor); });
 }
 
 bool isSuspect(const ClusterState &cluster, const Executor &executor)
@@ -165,8 +170,7 @@
     if (failures > 0) {
         return mayRetryOn(cluster, group, index, executor, failures);
     }
-    return !isCautiousGang(job, job.submission_.steps_[group.group_.step_]) || !isSuspect(cluster, executor)
-        || waitedSinceFailure(cluster, group, index) > maxWaitForProven;
+    return !group.isCautious_ || !isSuspect(cluster, executor) || waitedSinceFailure(cluster, group, index) > maxWaitForProven;
 }
 
 void relaxExclusionsIfNeeded(ClusterState &cluster, Job &job, const Group &group, const std::vector<Executor *> &candidates)
--- a/src/core/batch/health.h
+++ b/src/core/batch/health.h
@@ -11,8 +11,8 @@
 void excludeExecutor(const ClusterState &cluster, Job &job, const Group &group, std::size_t index, const ExecutorId &executor);
 
 /// Returns whether the task at \p index of \p group may run on \p executor. Excluded executors are never allowed. A task that has failed
-/// before waits for a proven executor, longer with each attempt, then for one that isn't suspect; after that it accepts any. A gang with few attempts
-/// avoids suspect executors at first as well.
+/// before waits for a proven executor, longer with each attempt, then for one that isn't suspect; after that it accepts any. A cautious gang avoids
+/// suspect executors with its first attempt as well.
 [[nodiscard]] bool mayRunOn(const ClusterState &cluster, const WaitingGroup &group, std::size_t index, const Executor &executor);
 
 /// Returns whether a task failed on \p executor recently and none that started there since has shown progress.
@@ -21,14 +21,14 @@
 /// Returns whether a task that started on \p executor recently, after its last failure, has shown progress or success.
 [[nodiscard]] bool isProven(const ClusterState &cluster, const Executor &executor);
 
-/// Returns whether \p group prefers proven executors: one of its waiting tasks has failed before, or it is a gang with few attempts.
+/// Returns whether \p group prefers proven executors: one of its waiting tasks has failed before, or it is cautious.
 [[nodiscard]] bool prefersProven(const WaitingGroup &group);
 
 /// Drops the exclusions of a group's tasks if the other \p candidates could not hold them even when empty.
 void relaxExclusionsIfNeeded(ClusterState &cluster, Job &job, const Group &group, const std::vector<Executor *> &candidates);
 
-/// Returns whether it pays for a retry of \p group to wait for proven executors: its service has some.
-[[nodiscard]] bool mayExpectProven(const ClusterState &cluster, const WaitingGroup &group);
+/// Sets whether \p group is cautious and may expect proven executors, by the executors of its service.
+void assessHealth(const ClusterState &cluster, WaitingGroup &group);
 
 /// Records that a task of \p job, whose run was assigned at \p startedAt, failed on \p executor. Quarantines the executor after failures of several jobs
 /// without a proof in between, or as condemnFailing() does. Precondition: the run is no longer tracked.
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -436,7 +436,7 @@
             continue;
         }
         group.job_->waitingSince_.try_emplace(group.group_.first_, cluster.now_);
-        group.mayExpectProven_ = mayExpectProven(cluster, group);
+        assessHealth(cluster, group);
         if (group.job_->settings_.priority_ > 0) {
             holds.holdUrgentReserve(group.job_->submission_.service_);
         }
--- a/src/core/batch/queueing.h
+++ b/src/core/batch/queueing.h
@@ -17,6 +17,7 @@
     Instant latestStart_{}; ///< a later start is expected to miss the objective
     bool late_ = false; ///< expected to miss its objective
     bool zeroValue_ = false; ///< expected to end too late to be of any value
+    bool isCautious_ = false; ///< a gang with few attempts while executors are in quarantine: its first attempt avoids suspect executors
     bool mayExpectProven_ = false; ///< some executor is proven, so that it pays to wait for such ones
     bool isRunning_ = false; ///< its tasks run, and it is considered whether to move them
 
