A gang is moved only if its hosts make it late, and doesn't wait long for faster ones in an idle fleet

Cause: moveLateGangs stopped a gang whose member has more work than the others, also on like hosts, and placed it on the same ones again. A search for a rack went through all racks also in a fleet without slow hosts. Change: a gang is moved if the slowest of the new hosts is faster by profile and the gang ends in time there; up to 5 % when first listed count as a start from nothing, as in recordRunTime; after 2 s in a service of which less than half is in use it takes slow hosts; the search ends with the first rack that has room if hosts don't differ. Jobs that can't be moved aren't collected in each step. The end of the search for a rack has no test: it changes the cost only, and that wasn't measured.

--- a/src/core/batch/host_choice.cpp
+++ b/src/core/batch/host_choice.cpp
@@ -62,7 +62,7 @@
 
 HostFit HostChoice::fitOf(const Executor &executor) const
 {
-    if (slowRatio_ == 0 || allowed_ < 1) {
+    if (!distinguishes()) {
         return HostFit::Neutral;
     }
     const std::string &host = executor.info_.incarnation_.host_;
--- a/src/core/batch/host_choice.h
+++ b/src/core/batch/host_choice.h
@@ -26,6 +26,12 @@
 
     [[nodiscard]] HostFit fitOf(const Executor &executor) const;
 
+    /// Returns whether hosts may differ in how well they suit the group.
+    [[nodiscard]] bool distinguishes() const noexcept
+    {
+        return slowRatio_ > 0 && allowed_ >= 1;
+    }
+
 private:
     const ClusterState &cluster_;
     double slowRatio_ = 0; ///< slowness from which a host is slow; 0 if there is no slow host
--- a/src/core/batch/late_gangs.cpp
+++ b/src/core/batch/late_gangs.cpp
@@ -18,6 +18,9 @@
 /// Progress of the slowest member from which the end of its gang can be told.
 constexpr std::int32_t minPercent = 8;
 
+/// Runs that are first listed with more progress were restored from a checkpoint.
+constexpr std::int32_t maxInitialPercent = 5;
+
 /// From this progress on, a gang is left alone.
 constexpr std::int32_t maxPercent = 70;
 
@@ -41,7 +44,7 @@
     for (std::size_t index = group.first_; index < group.end_; ++index) {
         const auto found = cluster.runs_.find({taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_});
         const bool isShown = found != cluster.runs_.end() && found->second.phase_ == RunPhase::Running && !found->second.inherited_
-            && found->second.initialPercent_ == 0 && found->second.percent_ >= minPercent;
+            && found->second.initialPercent_ <= maxInitialPercent && found->second.percent_ >= minPercent;
         if (!isShown) {
             return std::nullopt;
         }
@@ -76,14 +79,24 @@
     return waiting;
 }
 
-/// Returns whether \p group is a gang that may be moved at all.
-bool isMovable(const Job &job, const Group &group)
+/// Returns whether \p job is a gang that may be moved at all.
+bool isMovable(const Job &job)
 {
-    const Step &step = job.submission_.steps_[group.step_];
+    const Step &step = job.submission_.steps_.front();
     return step.gang_ && !step.longRunning_ && !step.cpuBackfill_ && job.submission_.steps_.size() == 1 && job.submission_.repeats_ == 0
         && job.settings_.priority_ == 0 && !isFinal(job.progress_.state_) && job.lateMoves_ == 0;
 }
 
+/// Returns how much longer tasks take on the slowest host of \p placements than on the median one. Unmeasured hosts count as the median one.
+double slowestOf(const ClusterState &cluster, const std::vector<Incarnation> &placements)
+{
+    double slowest = 0;
+    for (const Incarnation &placement : placements) {
+        slowest = std::max(slowest, cluster.hosts_.slowness(placement.host_).value_or(1));
+    }
+    return slowest;
+}
+
 void moveIfLate(ClusterState &cluster, Job &job, const Group &group)
 {
     const auto gang = progressOf(cluster, job, group);
@@ -100,6 +113,11 @@
     if (placements.empty()) {
         return;
     }
+    const double slowness = slowestOf(cluster, placements);
+    const Instant newEnd = restart + std::chrono::duration_cast<Duration>(gang->usualTime_ * slowness);
+    if (slowness >= slownessOfPlacement(cluster, job, group) || newEnd > deadline) {
+        return; // its hosts aren't what makes it late, or others wouldn't help
+    }
     ++job.lateMoves_;
     cluster.logEvent("gang-moved",
                      {{"job", job.submission_.id_.str()},
@@ -121,17 +139,16 @@
     std::set<JobId> reported;
     for (const auto &[name, executor] : cluster.executors_) {
         if (executor.lastReport_ == cluster.now_) {
-            std::transform(executor.runs_.begin(), executor.runs_.end(), std::inserter(reported, reported.end()), [](const RunId &run) {
-                return run.task_.job_;
-            });
+            for (const RunId &run : executor.runs_) {
+                if (isMovable(cluster.jobs_.at(run.task_.job_))) {
+                    reported.insert(run.task_.job_);
+                }
+            }
         }
     }
     for (const JobId &id : reported) {
         Job &job = cluster.jobs_.at(id);
-        const Group group = groupsOf(job.submission_).front();
-        if (isMovable(job, group)) {
-            moveIfLate(cluster, job, group);
-        }
+        moveIfLate(cluster, job, groupsOf(job.submission_).front());
     }
 }
 
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+/// Maximum time for which a group that could start waits for faster hosts while most of the fleet is idle.
+constexpr milliseconds maxIdleHostWait{2'000};
+
 /// Executors for the waiting tasks of a group; shorter than the group if some tasks have to wait.
 using Placement = std::vector<std::pair<std::size_t, Incarnation>>;
 
@@ -169,8 +172,7 @@
 
 /// Places a group that is slower away from its data or spread over racks. Of the racks with room for all tasks, takes the one whose hosts suit best. Uses other
 /// racks only if mayUseOtherRacks().
-Placement
-placeWithRackPreference(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const HostChoice &hosts)
+Placement placeWithRackPreference(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const HostChoice &hosts)
 {
     Placement best;
     for (const std::string &rack : preferredRacks(cluster, group, executors)) {
@@ -180,6 +182,9 @@
         if (placement.size() > best.size() || suitsBetter) {
             best = std::move(placement);
         }
+        if (best.size() == group.tasks_.size() && !hosts.distinguishes()) {
+            return best;
+        }
     }
     if (best.size() == group.tasks_.size() || !mayUseOtherRacks(cluster, group)) {
         return best;
@@ -190,8 +195,8 @@
 Placement findPlacement(const ClusterState &cluster, const std::vector<Executor *> &executors, const WaitingGroup &group, const HostChoice &hosts)
 {
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
-    Placement placement = prefersRack(step) ? placeWithRackPreference(cluster, executors, group, hosts)
-                                            : placeTasks(cluster, executors, group, hosts, "", false);
+    Placement placement
+        = prefersRack(step) ? placeWithRackPreference(cluster, executors, group, hosts) : placeTasks(cluster, executors, group, hosts, "", false);
     if (step.gang_ && placement.size() < group.tasks_.size()) {
         placement.clear();
     }
@@ -339,13 +344,20 @@
     return tooSlow > 0 && preemptFor(cluster, group, executors);
 }
 
+/// Returns whether \p group has waited long enough for faster hosts: the others aren't left unused for longer while most of the fleet is idle.
+bool hasWaitedForFasterHosts(const ClusterState &cluster, const WaitingGroup &group)
+{
+    const bool hasWaited = cluster.now_ - group.job_->waitingSince_.at(group.group_.first_) > maxIdleHostWait;
+    return hasWaited && isMostlyIdle(cluster, group.job_->submission_.service_);
+}
+
 /// Returns whether \p group, which could start now by \p placement, should wait for hosts on which it ends in time: it would miss its objective on some of
 /// those, and room on others is being cleared.
 bool waitsForFasterHosts(
     ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors, const HostChoice &hosts, const Placement &placement)
 {
     return !placement.empty() && worstFit(cluster, hosts, placement) == HostFit::TooSlow && mayPreempt(cluster, group)
-        && preemptOnSuitableHosts(cluster, group, executors, hosts);
+        && !hasWaitedForFasterHosts(cluster, group) && preemptOnSuitableHosts(cluster, group, executors, hosts);
 }
 
 /// Places the waiting tasks of \p group as far as possible, and prepares for the others: asks for tickets, stops other work or holds executors.
--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -87,6 +87,11 @@
 
 }
 
+bool isMostlyIdle(const ClusterState &cluster, const ServiceId &service)
+{
+    return utilizationOf(cluster, service).isIdle();
+}
+
 bool prefersRack(const Step &step) noexcept
 {
     return step.sameRack_ || !step.affinity_.empty();
--- a/src/core/batch/racks.h
+++ b/src/core/batch/racks.h
@@ -24,6 +24,9 @@
 /// work occupies resources that other waiting work needs.
 [[nodiscard]] bool hasWaitedForRack(const ClusterState &cluster, const WaitingGroup &group);
 
+/// Returns whether less than half of each resource of the executors that may be assigned work of \p service is in use.
+[[nodiscard]] bool isMostlyIdle(const ClusterState &cluster, const ServiceId &service);
+
 /// Returns whether \p group may now use other racks: it has waited long enough, or its reservation for preempted resources isn't rack-local.
 [[nodiscard]] bool mayUseOtherRacks(const ClusterState &cluster, const WaitingGroup &group);
 
