--- a/src/core/batch/fleet_profile.h
+++ b/src/core/batch/fleet_profile.h
@@ -7,8 +7,8 @@
 
 namespace bergamotwick::batch {
 
-/// What leaders have learned of a fleet and its work, handed on through the store. Written only by the leader. It has a key of its own, as releases that don't know of
-/// it leave that key alone. A leader without it schedules as well, only less well.
+/// What leaders have learned of a fleet and its work, handed on through the store. Written only by the leader. It has a key of its own, as releases that don't
+/// know of it leave that key alone. A leader without it schedules as well, only less well.
 struct FleetProfile
 {
     std::vector<StoredHostSpeed> hosts_;
--- a/src/core/batch/host_speeds.cpp
+++ b/src/core/batch/host_speeds.cpp
@@ -21,8 +21,8 @@
 constexpr double taskDeviation = 0.3;
 constexpr double roundingPercent = 0.3;
 
-/// Returns the pace that \p run has shown. All members of a gang start to work at one moment, when the last one is there; so their progress is measured from the
-/// decision to start them, which is the same for all.
+/// Returns the pace that \p run has shown. All members of a gang start to work at one moment, when the last one is there; so their progress is measured from
+/// the decision to start them, which is the same for all.
 std::optional<PaceSample> sampleOf(const Run &run, bool gang)
 {
     const std::int32_t progress = run.percent_ - run.initialPercent_;
@@ -41,8 +41,8 @@
 /// Returns how many of samplePercents \p run has reached.
 std::uint32_t samplesDue(const Run &run)
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        samplePercents.begin(), samplePercents.end(), [&run](std::int32_t percent) { return run.percent_ - run.initialPercent_ >= percent; }));
+    return static_cast<std::uint32_t>(
+        std::count_if(samplePercents.begin(), samplePercents.end(), [&run](std::int32_t percent) { return run.percent_ - run.initialPercent_ >= percent; }));
 }
 
 }
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -275,8 +275,7 @@
     cluster_.hosts_.load(input.profile_.hosts_, cluster_.calendar_);
     cluster_.runTimes_.load(input.profile_.queues_);
     isProfileLoaded_ = true;
-    cluster_.logEvent("profile-loaded",
-                      {{"hosts", std::to_string(input.profile_.hosts_.size())}, {"queues", std::to_string(input.profile_.queues_.size())}});
+    cluster_.logEvent("profile-loaded", {{"hosts", std::to_string(input.profile_.hosts_.size())}, {"queues", std::to_string(input.profile_.queues_.size())}});
 }
 
 void Leader::handle(const CancelStored &input)
--- a/src/core/batch/placing.h
+++ b/src/core/batch/placing.h
@@ -10,8 +10,8 @@
 /// Thread safety: none; one thread owns the cluster state.
 void placeWaiting(ClusterState &cluster);
 
-/// Returns executors for all tasks of \p group, which runs, on hosts where it would end in time, one for each task in order; or nothing if there is no room. What the
-/// group uses itself counts as free.
+/// Returns executors for all tasks of \p group, which runs, on hosts where it would end in time, one for each task in order; or nothing if there is no room.
+/// What the group uses itself counts as free.
 [[nodiscard]] std::vector<Incarnation> findFasterPlacement(ClusterState &cluster, const WaitingGroup &group);
 
 /// Returns how many more tasks of the group's step may run on \p executor under the step's anti-affinity limit.
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -78,8 +78,8 @@
     }
 }
 
-/// Records how long \p run took, or would have taken on the median host, for estimates of later run times. Skips runs that were restored from a checkpoint or slowed by their rack, and
-/// tasks that were already done.
+/// Records how long \p run took, or would have taken on the median host, for estimates of later run times. Skips runs that were restored from a checkpoint or
+/// slowed by their rack, and tasks that were already done.
 void recordRunTime(ClusterState &cluster, const Job &job, const Run &run)
 {
     constexpr std::int32_t maxInitialPercent = 5; // more means that the run was restored from a checkpoint
--- a/src/node/leader_host.cpp
+++ b/src/node/leader_host.cpp
@@ -313,8 +313,8 @@
         }
     }
 
-    /// Passes the stored fleet profile to the scheduler. Returns whether it need not be tried again: a record that this release can't read is left alone, and the
-    /// scheduler, which isn't told, doesn't replace it.
+    /// Passes the stored fleet profile to the scheduler. Returns whether it need not be tried again: a record that this release can't read is left alone, and
+    /// the scheduler, which isn't told, doesn't replace it.
     [[nodiscard]] bool loadProfile()
     {
         return tryStoreCalls("profile-load-failed", [&]() -> Result<bool> {
