Servers bound the memory and connections of clients that nobody controls (partial)

Cause: each body, head and connection was held whatever all of them needed. Not whole: BodyLimitTest.chunkedBodyWithinTheLimitIsServed hangs in ThreadPerConnection::shutdown() on stop; not traced yet.

--- a/src/net/bounded_body.h
+++ b/src/net/bounded_body.h
@@ -13,7 +13,8 @@
 
 /// Returns a handler that reads the request's body and calls \p handler with it. A body of more than \p maxBytes is dropped while it is read and
 /// answered with 413, also if its length isn't declared or it is compressed; the server itself limits declared lengths only. A much larger one
-/// ends the connection. A multipart body counts as empty.
+/// ends the connection. A multipart body counts as empty. In a GuardedServer, a request for which there is no memory is answered with 503 and a
+/// time to come back, and the connection ends; \p handler isn't called.
 ///
 /// Thread safety: the result may be called concurrently if \p handler may.
 [[nodiscard]] httplib::Server::HandlerWithContentReader withBody(std::size_t maxBytes, BodyHandler handler);
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -53,7 +53,7 @@
         : settings_(settings)
         , store_(settings.storeAddress_)
         , core_(settings.nodeName_, settings.stopLimit_, heartbeatLimitsOf(settings), settings.maxLeaseDuration_)
-        , control_(settings.controlAddress_, executorCallbacks())
+        , control_(settings.controlAddress_, executorCallbacks(), receiveLimitsOf(settings.memoryMb_, settings.maxDescriptors_))
         , membership_(store_, [this](const Members &members) { membersChanged(members); })
     {
     }
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -94,7 +94,10 @@
               maxConfigAgeOf(settings),
               settings.maxValueBytes_)
         , forwardListener_(forwardAddress(agentAddress(settings)), [this](const platform::Call &call) { return service_.answer(call); })
-        , callersServer_(settings.callersAddress_, [this](const platform::Call &call) { return service_.answer(call); })
+        , callersServer_(
+              settings.callersAddress_,
+              [this](const platform::Call &call) { return service_.answer(call); },
+              receiveLimitsOf(settings.memoryMb_, settings.maxDescriptors_))
         , readinessServer_(settings.readinessAddress_, platform::readinessPath, [this] {
             return platform::Answer{!stopping_ && service_.ready() ? platform::statusOk : platform::statusUnavailable, ""};
         })
