Review of host choice: wide steps don't wait for faster hosts, moved gangs leave room to guaranteed work

Change: only gangs and single tasks wait; no moves while guaranteed work waits, and reservations of moves end; slow hosts follow each fit; avoiding a host needs no certainty, as it only orders equals.

--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -52,6 +52,9 @@
     Stopping, ///< it must end; the stop order is repeated until its end is certain
 };
 
+/// A run that is first listed with more progress was restored from a checkpoint, in percent.
+constexpr std::int32_t maxUnrestoredPercent = 5;
+
 /// A run and the resources that it occupies on an executor, from the decision to start it until its end is certain.
 struct Run
 {
--- a/src/core/batch/host_profiles.cpp
+++ b/src/core/batch/host_profiles.cpp
@@ -96,10 +96,10 @@
     ++recorded_;
 }
 
-void HostProfiles::refresh(Instant now)
+bool HostProfiles::refresh(Instant now)
 {
     if (!isOutdated_ || now - fittedAt_ < fitInterval) {
-        return;
+        return false;
     }
     isOutdated_ = false;
     fittedAt_ = now;
@@ -110,6 +110,7 @@
     }
     findChanges();
     centre();
+    return true;
 }
 
 void HostProfiles::absorbOldSamples(Instant now)
--- a/src/core/batch/host_profiles.h
+++ b/src/core/batch/host_profiles.h
@@ -49,8 +49,8 @@
     /// Records what \p run on \p host has shown at \p now, in place of what it had shown before. \p calendar is the calendar time of \p now.
     void record(const RunId &run, const std::string &host, const PaceSample &sample, Instant now, CalendarTime calendar);
 
-    /// Fits the model to the samples if there are new ones and it wasn't fitted just before \p now.
-    void refresh(Instant now);
+    /// Fits the model to the samples if there are new ones and it wasn't fitted just before \p now. Returns whether it did.
+    bool refresh(Instant now);
 
     /// Returns the slowness of \p host as of the last refresh(), or std::nullopt if too little is known of it.
     [[nodiscard]] std::optional<double> slowness(const std::string &host) const;
--- a/src/core/batch/host_speeds.cpp
+++ b/src/core/batch/host_speeds.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <map>
 
 namespace bergamotwick::batch {
 
@@ -25,7 +26,8 @@
 /// the decision to start them, which is the same for all.
 std::optional<PaceSample> sampleOf(const Run &run, bool gang)
 {
-    const std::int32_t progress = run.percent_ - run.initialPercent_;
+    const bool fromStart = gang && run.initialPercent_ <= maxUnrestoredPercent;
+    const std::int32_t progress = fromStart ? run.percent_ : run.percent_ - run.initialPercent_;
     if (run.phase_ != RunPhase::Running || run.percent_ >= finishedPercent || progress < samplePercents.front() || (gang && run.inherited_)) {
         return std::nullopt;
     }
@@ -65,10 +67,17 @@
 
 void refreshSpeeds(ClusterState &cluster)
 {
-    cluster.hosts_.refresh(cluster.now_);
+    if (!cluster.hosts_.refresh(cluster.now_)) {
+        return;
+    }
+    std::map<ServiceId, double> slowRatios;
     for (const auto &[id, executor] : cluster.executors_) {
         const std::string &host = executor.info_.incarnation_.host_;
-        const bool isSlow = cluster.hosts_.isSlowerThan(host, slowRatioOf(cluster, executor.info_.service_));
+        const auto [ratio, isNew] = slowRatios.try_emplace(executor.info_.service_);
+        if (isNew) {
+            ratio->second = slowRatioOf(cluster, executor.info_.service_);
+        }
+        const bool isSlow = cluster.hosts_.isSlowerThan(host, ratio->second);
         if (isSlow == cluster.slowHosts_.contains(host)) {
             continue;
         }
--- a/src/core/batch/late_gangs.cpp
+++ b/src/core/batch/late_gangs.cpp
@@ -18,9 +18,6 @@
 /// Progress of the slowest member from which the end of its gang can be told.
 constexpr std::int32_t minPercent = 8;
 
-/// Runs that are first listed with more progress were restored from a checkpoint.
-constexpr std::int32_t maxInitialPercent = 5;
-
 /// From this progress on, a gang is left alone.
 constexpr std::int32_t maxPercent = 70;
 
@@ -44,7 +41,7 @@
     for (std::size_t index = group.first_; index < group.end_; ++index) {
         const auto found = cluster.runs_.find({taskOf(job.submission_, group, index), job.progress_.tasks_[index].run_});
         const bool isShown = found != cluster.runs_.end() && found->second.phase_ == RunPhase::Running && !found->second.inherited_
-            && found->second.initialPercent_ <= maxInitialPercent && found->second.percent_ >= minPercent;
+            && found->second.initialPercent_ <= maxUnrestoredPercent && found->second.percent_ >= minPercent;
         if (!isShown) {
             return std::nullopt;
         }
@@ -97,6 +94,26 @@
     return slowest;
 }
 
+/// Returns whether guaranteed work waits for room, which a gang that moves could take.
+bool isGuaranteedWorkWaiting(const ClusterState &cluster)
+{
+    return std::any_of(cluster.jobs_.begin(), cluster.jobs_.end(), [](const auto &entry) {
+        const Job &job = entry.second;
+        return job.guaranteed_ && !isFinal(job.progress_.state_) && !job.waitingSince_.empty();
+    });
+}
+
+/// Releases the room of gangs whose stop has taken longer than expected.
+void releaseExpiredMoves(ClusterState &cluster)
+{
+    for (auto &[id, job] : cluster.jobs_) {
+        const auto reserved = job.lateMoves_ > 0 ? job.reservations_.find(0) : job.reservations_.end();
+        if (reserved != job.reservations_.end() && reserved->second.until_ < cluster.now_) {
+            release(cluster, job, 0);
+        }
+    }
+}
+
 void moveIfLate(ClusterState &cluster, Job &job, const Group &group)
 {
     const auto gang = progressOf(cluster, job, group);
@@ -133,7 +150,8 @@
 
 void moveLateGangs(ClusterState &cluster)
 {
-    if (!cluster.mayIssueOrders()) {
+    releaseExpiredMoves(cluster);
+    if (!cluster.mayIssueOrders() || isGuaranteedWorkWaiting(cluster)) {
         return;
     }
     std::set<JobId> reported;
--- a/src/core/batch/pace.cpp
+++ b/src/core/batch/pace.cpp
@@ -61,7 +61,7 @@
 
 bool isSlowForUrgent(const ClusterState &cluster, const Executor &executor)
 {
-    return cluster.hosts_.isSlowerThan(executor.info_.incarnation_.host_, slowRatio);
+    return cluster.hosts_.slowness(executor.info_.incarnation_.host_).value_or(1) > slowRatio;
 }
 
 }
--- a/src/core/batch/placing.cpp
+++ b/src/core/batch/placing.cpp
@@ -365,7 +365,8 @@
 bool waitsForFasterHosts(
     ClusterState &cluster, const WaitingGroup &group, const std::vector<Executor *> &executors, const HostChoice &hosts, const Placement &placement)
 {
-    return !placement.empty() && worstFit(cluster, hosts, placement) == HostFit::TooSlow && mayPreempt(cluster, group)
+    const bool startsTogether = group.job_->submission_.steps_[group.group_.step_].gang_ || group.tasks_.size() == 1;
+    return startsTogether && !placement.empty() && worstFit(cluster, hosts, placement) == HostFit::TooSlow && mayPreempt(cluster, group)
         && !hasWaitedForFasterHosts(cluster, group) && preemptOnSuitableHosts(cluster, group, executors, hosts);
 }
 
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -82,11 +82,10 @@
 /// slowed by their rack, and tasks that were already done.
 void recordRunTime(ClusterState &cluster, const Job &job, const Run &run)
 {
-    constexpr std::int32_t maxInitialPercent = 5; // more means that the run was restored from a checkpoint
     const Group group = groupOf(job.submission_, run.id_.task_);
     const Step &step = job.submission_.steps_[group.step_];
     const bool alreadyDone = job.progress_.tasks_[*indexOf(job.submission_, run.id_.task_)].done_;
-    if (alreadyDone || run.initialPercent_ > maxInitialPercent || (prefersRack(step) && !isRackLocal(cluster, job, group))) {
+    if (alreadyDone || run.initialPercent_ > maxUnrestoredPercent || (prefersRack(step) && !isRackLocal(cluster, job, group))) {
         return;
     }
     const double slowness = step.gang_ ? slownessOfPlacement(cluster, job, group) : cluster.hosts_.slowness(run.placement_.host_).value_or(1);
