--- a/src/core/batch/board.h
+++ b/src/core/batch/board.h
@@ -285,6 +285,7 @@
     std::map<ServiceId, UrgentDemand> urgent_;
     RunTimes runTimes_;
     HostProfiles hosts_;
+    bool areSlowHostsOutdated_ = false; ///< an executor or the configuration has changed
     std::set<std::string> slowHosts_; ///< hosts that are slower than the tightest queue of their executors' service allows
     std::set<JobId> jobsWithCrashes_; ///< jobs whose crashes_ isn't empty
     std::vector<ObservedCrash> recentCrashes_; ///< oldest first
--- a/src/core/batch/host_speeds.cpp
+++ b/src/core/batch/host_speeds.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace bergamotwick::batch {
 
@@ -67,7 +68,8 @@
 
 void refreshSpeeds(ClusterState &cluster)
 {
-    if (!cluster.hosts_.refresh(cluster.now_)) {
+    const bool hasChanged = cluster.hosts_.refresh(cluster.now_);
+    if (!std::exchange(cluster.areSlowHostsOutdated_, false) && !hasChanged) {
         return;
     }
     std::map<ServiceId, double> slowRatios;
--- a/src/core/batch/leader.cpp
+++ b/src/core/batch/leader.cpp
@@ -291,6 +291,7 @@
 void Leader::handle(ConfigChanged &&input)
 {
     cluster_.config_ = std::move(input.config_);
+    cluster_.areSlowHostsOutdated_ = true;
     cluster_.logEvent("config-in-force", {{"version", std::to_string(cluster_.config_.version_)}});
     for (auto &[id, job] : cluster_.jobs_) {
         refreshFromConfig(job);
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -297,6 +297,7 @@
         executor.failedAt_ = Instant();
         executor.provenBy_ = Instant();
         executor.quarantinedUntil_ = Instant();
+        cluster.areSlowHostsOutdated_ = true;
         cluster.logEvent("executor-seen",
                          {{"executor", report.executor_.incarnation_.executor_.str()},
                           {"born", std::to_string(report.executor_.incarnation_.startTimeMs_)},
