An executor known from a record counts as new with its first report

Cause: what a record tells of an executor doesn't name its service, so that its host wasn't known to be slow (leaderKilledDuringTheWriteLosesOnlyThat).

--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -297,7 +297,6 @@
         executor.failedAt_ = Instant();
         executor.provenBy_ = Instant();
         executor.quarantinedUntil_ = Instant();
-        cluster.areSlowHostsOutdated_ = true;
         cluster.logEvent("executor-seen",
                          {{"executor", report.executor_.incarnation_.executor_.str()},
                           {"born", std::to_string(report.executor_.incarnation_.startTimeMs_)},
@@ -318,6 +317,8 @@
     if (executor.responsive_ && !report.responsive_) {
         executor.unresponsiveSince_ = cluster.now_;
     }
+    const bool isNew = !executor.reported_ || executor.info_.incarnation_ != report.executor_.incarnation_;
+    cluster.areSlowHostsOutdated_ = cluster.areSlowHostsOutdated_ || isNew;
     executor.info_ = report.executor_;
     executor.isLeaving_ = executor.isLeaving_ || executor.info_.hasLeft_ || executor.info_.draining_;
     executor.agent_ = report.agent_;
