--- a/src/net/bounded_body.cpp
+++ b/src/net/bounded_body.cpp
@@ -111,16 +111,15 @@
         const auto receive = [&](const char *data, std::size_t bytes) { return multipart ? body.drop(bytes) : body.append(data, bytes); };
         const bool complete = multipart ? read([](const httplib::MultipartFormData &) { return true; }, receive) : read(receive);
         const bool skipped = !complete && response.status == statusTooLarge; // the server has read past a body whose declared length is too large
-        if (body.refused()) {
+        const bool isWhole = complete && !body.tooLarge();
+        if (body.refused() || (isWhole && !RequestMemory::complete())) {
             refuse(response);
-        } else if (skipped || (complete && body.tooLarge())) {
+        } else if (isWhole) {
+            handler(request, body.bytes(), response);
+        } else if (complete || skipped) {
             response.status = statusTooLarge;
-        } else if (!complete) {
-            answerAndClose(response, body.tooLarge() ? statusTooLarge : response.status);
-        } else if (!RequestMemory::complete()) {
-            refuse(response);
         } else {
-            handler(request, body.bytes(), response);
+            answerAndClose(response, body.tooLarge() ? statusTooLarge : response.status);
         }
     };
 }
