Nearness, slowness and objective are each computed in one place

Change: areRackLocal, slownessOf and objectiveOf; no objective without a weight. No test was changed.

--- a/src/core/batch/host_speeds.cpp
+++ b/src/core/batch/host_speeds.cpp
@@ -95,16 +95,16 @@
     }
 }
 
-std::optional<double> slownessOf(const ClusterState &cluster, const Executor &executor)
+double slownessOf(const ClusterState &cluster, const Incarnation &placement)
 {
-    return cluster.hosts_.slowness(executor.info_.incarnation_.host_);
+    return cluster.hosts_.slowness(placement.host_).value_or(1);
 }
 
 double slownessOfPlacement(const ClusterState &cluster, const Job &job, const Group &group)
 {
     double slowest = 0;
     for (std::size_t index = group.first_; index < group.end_; ++index) {
-        slowest = std::max(slowest, cluster.hosts_.slowness(job.progress_.tasks_[index].placement_.host_).value_or(1));
+        slowest = std::max(slowest, slownessOf(cluster, job.progress_.tasks_[index].placement_));
     }
     return slowest;
 }
--- a/src/core/batch/host_speeds.h
+++ b/src/core/batch/host_speeds.h
@@ -14,11 +14,10 @@
 /// Updates the estimates of ClusterState::hosts_ and ClusterState::slowHosts_ from the recorded paces.
 void refreshSpeeds(ClusterState &cluster);
 
-/// Returns the slowness of the host of \p executor, or std::nullopt if too little is known of it.
-[[nodiscard]] std::optional<double> slownessOf(const ClusterState &cluster, const Executor &executor);
+/// Returns the slowness of the host of \p placement; an unknown one counts as the median one.
+[[nodiscard]] double slownessOf(const ClusterState &cluster, const Incarnation &placement);
 
-/// Returns the slowness of the slowest host on which \p group of \p job is placed; unknown hosts count as the median one. Precondition: its tasks have
-/// placements.
+/// Returns the slowness of the slowest host on which \p group of \p job is placed, as slownessOf(). Precondition: its tasks have placements.
 [[nodiscard]] double slownessOfPlacement(const ClusterState &cluster, const Job &job, const Group &group);
 
 }
--- a/src/core/batch/late_gangs.cpp
+++ b/src/core/batch/late_gangs.cpp
@@ -27,7 +27,6 @@
 /// What the members of a running gang show.
 struct GangProgress
 {
-    Instant startedAt_{};
     std::int32_t slowestPercent_ = 100;
     Duration usualTime_{}; ///< its run time on the median host
     Instant endsAt_{}; ///< where it runs
@@ -47,9 +46,7 @@
         }
         const Run &run = found->second;
         const Duration time = (run.percentAt_ - run.startedAt_) * 100 / run.percent_;
-        const double slowness = cluster.hosts_.slowness(run.placement_.host_).value_or(1);
-        usualTimes.push_back(std::chrono::duration_cast<Duration>(time / slowness));
-        gang.startedAt_ = run.startedAt_;
+        usualTimes.push_back(std::chrono::duration_cast<Duration>(time / slownessOf(cluster, run.placement_)));
         gang.slowestPercent_ = std::min(gang.slowestPercent_, run.percent_);
         gang.endsAt_ = std::max(gang.endsAt_, run.startedAt_ + time);
     }
@@ -84,12 +81,12 @@
         && job.settings_.priority_ == 0 && !isFinal(job.progress_.state_) && job.lateMoves_ == 0;
 }
 
-/// Returns how much longer tasks take on the slowest host of \p placements than on the median one. Unmeasured hosts count as the median one.
+/// Returns the slowness of the slowest host of \p placements, as slownessOf().
 double slowestOf(const ClusterState &cluster, const std::vector<Incarnation> &placements)
 {
     double slowest = 0;
     for (const Incarnation &placement : placements) {
-        slowest = std::max(slowest, cluster.hosts_.slowness(placement.host_).value_or(1));
+        slowest = std::max(slowest, slownessOf(cluster, placement));
     }
     return slowest;
 }
--- a/src/core/batch/pace.cpp
+++ b/src/core/batch/pace.cpp
@@ -1,5 +1,7 @@
 #include "core/batch/pace.h"
 
+#include "core/batch/host_speeds.h"
+
 #include <algorithm>
 
 namespace bergamotwick::batch {
@@ -61,7 +63,7 @@
 
 bool isSlowForUrgent(const ClusterState &cluster, const Executor &executor)
 {
-    return cluster.hosts_.slowness(executor.info_.incarnation_.host_).value_or(1) > slowRatio;
+    return slownessOf(cluster, executor.info_.incarnation_) > slowRatio;
 }
 
 }
--- a/src/core/batch/preemption.cpp
+++ b/src/core/batch/preemption.cpp
@@ -51,15 +51,17 @@
 Duration slackOf(const ClusterState &cluster, const Job &job, const Run &run)
 {
     const Step &step = job.submission_.steps_[run.id_.task_.step_];
-    const auto objective = std::chrono::duration_cast<Duration>(remainingCriticalPath(cluster, job, 0) * job.settings_.stretch_) + job.settings_.targetLatency_;
     const Duration done = Duration(cluster.expectedTime(job, step)) * run.percent_ / 100;
     const Duration remaining = remainingCriticalPath(cluster, job, run.id_.task_.step_) - done;
-    return job.acceptedAt_ + objective - cluster.now_ - remaining;
+    return job.acceptedAt_ + objectiveOf(cluster, job) - cluster.now_ - remaining;
 }
 
 /// Returns what it costs the callers if \p run, and with it its gang, is stopped.
 std::int64_t costOfStop(const ClusterState &cluster, const Run &run)
 {
+    if (cluster.limits_.callerWeight_ == 0) {
+        return lostWork(cluster, run); // the usual case: objectives needn't be computed for each run
+    }
     const Job &job = cluster.jobs_.at(run.id_.task_.job_);
     const Step &step = job.submission_.steps_[run.id_.task_.step_];
     const YieldingWork work{job.settings_.priority_, lostWork(cluster, run), lostTime(cluster, run, step) + stopRoundTrip, slackOf(cluster, job, run)};
--- a/src/core/batch/queueing.cpp
+++ b/src/core/batch/queueing.cpp
@@ -57,8 +57,7 @@
 
 Urgency urgencyOf(const ClusterState &cluster, const Job &job, const Group &group)
 {
-    const milliseconds criticalPath = remainingCriticalPath(cluster, job, 0);
-    const auto objective = std::chrono::duration_cast<Duration>(criticalPath * job.settings_.stretch_) + job.settings_.targetLatency_;
+    const Duration objective = objectiveOf(cluster, job);
     const milliseconds remaining = remainingCriticalPath(cluster, job, group.step_);
     Urgency urgency;
     urgency.rank_ = job.guaranteed_ ? guaranteedRank : job.settings_.priority_;
@@ -71,6 +70,11 @@
 
 }
 
+Duration objectiveOf(const ClusterState &cluster, const Job &job)
+{
+    return std::chrono::duration_cast<Duration>(remainingCriticalPath(cluster, job, 0) * job.settings_.stretch_) + job.settings_.targetLatency_;
+}
+
 milliseconds remainingCriticalPath(const ClusterState &cluster, const Job &job, std::uint32_t step)
 {
     // Steps depend only on earlier steps, so in reverse order each step is visited after all of its dependents.
--- a/src/core/batch/queueing.h
+++ b/src/core/batch/queueing.h
@@ -28,6 +28,9 @@
     }
 };
 
+/// Returns the time in which \p job should end, from its acceptance. Thread-safe on const objects.
+[[nodiscard]] Duration objectiveOf(const ClusterState &cluster, const Job &job);
+
 /// Returns the groups that may start now, most urgent first: guaranteed groups, then by priority, then groups that can still end in time to be
 /// of value, then groups that can still meet their objective, then by latest start time. During bursts, late work never delays work of the same priority that
 /// is still in time.
--- a/src/core/batch/racks.cpp
+++ b/src/core/batch/racks.cpp
@@ -76,13 +76,11 @@
     return executor == cluster.executors_.end() ? std::string() : executor->second.rack();
 }
 
-/// Returns whether \p reservation is on one rack where a group of \p step runs at full speed.
-bool isReservationRackLocal(const ClusterState &cluster, const Reservation &reservation, const Step &step)
+/// Returns whether all \p executors are on the one rack where a group of \p step runs at full speed. Precondition: there are any.
+bool areRackLocal(const ClusterState &cluster, const Step &step, const std::vector<Incarnation> &executors)
 {
-    const std::string expectedRack = step.sameRack_ ? rackOf(cluster, reservation.placements_.front()) : step.affinity_;
-    return std::all_of(reservation.placements_.begin(), reservation.placements_.end(), [&](const Incarnation &incarnation) {
-        return rackOf(cluster, incarnation) == expectedRack;
-    });
+    const std::string expectedRack = step.sameRack_ ? rackOf(cluster, executors.front()) : step.affinity_;
+    return std::all_of(executors.begin(), executors.end(), [&](const Incarnation &incarnation) { return rackOf(cluster, incarnation) == expectedRack; });
 }
 
 }
@@ -128,13 +126,8 @@
 
 double rackSlowdown(const ClusterState &cluster, const Step &step, const std::vector<Incarnation> &executors)
 {
-    if (!prefersRack(step) || executors.empty()) {
-        return 1;
-    }
-    const std::string expectedRack = step.sameRack_ ? rackOf(cluster, executors.front()) : step.affinity_;
-    const bool isLocal
-        = std::all_of(executors.begin(), executors.end(), [&](const Incarnation &incarnation) { return rackOf(cluster, incarnation) == expectedRack; });
-    return isLocal ? 1 : cluster.limits_.spreadFactor_;
+    const bool isSlowed = prefersRack(step) && !executors.empty() && !areRackLocal(cluster, step, executors);
+    return isSlowed ? cluster.limits_.spreadFactor_ : 1;
 }
 
 bool mayUseOtherRacks(const ClusterState &cluster, const WaitingGroup &group)
@@ -142,7 +135,7 @@
     const Step &step = group.job_->submission_.steps_[group.group_.step_];
     const auto reserved = group.job_->reservations_.find(group.group_.first_);
     if (reserved != group.job_->reservations_.end() && reserved->second.until_ > cluster.now_) {
-        return !isReservationRackLocal(cluster, reserved->second, step);
+        return !areRackLocal(cluster, step, reserved->second.placements_);
     }
     return hasWaitedForRack(cluster, group);
 }
--- a/src/core/batch/runs.cpp
+++ b/src/core/batch/runs.cpp
@@ -88,7 +88,7 @@
     if (alreadyDone || run.initialPercent_ > maxUnrestoredPercent || (prefersRack(step) && !isRackLocal(cluster, job, group))) {
         return;
     }
-    const double slowness = step.gang_ ? slownessOfPlacement(cluster, job, group) : cluster.hosts_.slowness(run.placement_.host_).value_or(1);
+    const double slowness = step.gang_ ? slownessOfPlacement(cluster, job, group) : slownessOf(cluster, run.placement_);
     cluster.runTimes_.record(job.submission_.queue_, step.estimate_, std::chrono::duration_cast<milliseconds>((cluster.now_ - run.startedAt_) / slowness));
 }
 
