Review case 11: work on an executor that is lost and silent is never given out again

Shows LOST by review/11/run.sh: the agent goes on extending the leases in its own account, and the job has nothing running for as long as the script looks.

--- a/review/harness-3/executor.cpp
+++ b/review/harness-3/executor.cpp
@@ -69,8 +69,21 @@
     up_ = false;
     link_->down();
     std::this_thread::sleep_for(linkTime);
+    loseAll("crashes");
+}
+
+void Executor::loseForGood()
+{
+    up_ = false;
+    link_->dark();
+    std::this_thread::sleep_for(linkTime);
+    loseAll("is lost for good");
+}
+
+void Executor::loseAll(const std::string &how)
+{
     const std::lock_guard lock(mutex_);
-    record_.line(id_ + " crashes with " + std::to_string(running_.size()) + " tasks");
+    record_.line(id_ + " " + how + ", with " + std::to_string(running_.size()) + " tasks");
     for (const auto &[task, run] : running_) {
         work_[run.work_].endedMs_ = record_.nowMs();
         work_[run.work_].how_ = "lost";
--- a/review/harness-3/executor.h
+++ b/review/harness-3/executor.h
@@ -45,6 +45,9 @@
     /// All that runs is gone, and connections are refused until restart().
     void crash();
 
+    /// The machine loses its power for good: all that runs is gone, and nothing is answered any more.
+    void loseForGood();
+
     /// Starts again under another id, with nothing from before.
     void restart();
 
@@ -80,6 +83,7 @@
     };
 
     void beginLife();
+    void loseAll(const std::string &how);
     void start(const httplib::Request &request, httplib::Response &response);
     void stop(const httplib::Request &request, httplib::Response &response);
     void hold(const httplib::Request &request, httplib::Response &response);
--- a/review/harness-3/link.cpp
+++ b/review/harness-3/link.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <stdexcept>
 #include <thread>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -55,6 +56,7 @@
     std::string target_;
     std::atomic<int> silenced_{0}; ///< connections of an earlier generation carry nothing
     std::atomic<bool> down_{false};
+    std::atomic<bool> dark_{false};
     std::atomic<bool> stopping_{false};
 
     /// Forwards what has arrived on \p from. Returns false at the end of the connection.
@@ -112,6 +114,7 @@
     }
     std::thread([state = state_, first] {
         int listener = first;
+        std::vector<int> waiting;
         while (!state->stopping_) {
             if (state->down_) {
                 if (listener >= 0) {
@@ -121,6 +124,19 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(5));
                 continue;
             }
+            if (state->dark_) {
+                // A full queue of new connections: the system answers no further attempt to open one.
+                if (waiting.empty()) {
+                    ::listen(listener, 0);
+                    const sockaddr_in local = parse(state->address_);
+                    for (int number = 0; number < 3; ++number) {
+                        waiting.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+                        (void)::connect(waiting.back(), reinterpret_cast<const sockaddr *>(&local), sizeof(local));
+                    }
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                continue;
+            }
             if (listener < 0) {
                 listener = listenOn(state->address_);
                 continue;
@@ -159,4 +175,10 @@
     state_->down_ = false;
 }
 
+void Link::dark()
+{
+    ++state_->silenced_;
+    state_->dark_ = true;
+}
+
 }
--- a/review/harness-3/link.h
+++ b/review/harness-3/link.h
@@ -23,6 +23,9 @@
     void down();
     void up();
 
+    /// As if the machine behind it had lost its power for good: open connections go silent, and attempts to open one aren't answered.
+    void dark();
+
 private:
     struct State;
     std::shared_ptr<State> state_;
--- a/review/harness-3/main.cpp
+++ b/review/harness-3/main.cpp
@@ -277,6 +277,52 @@
     return late ? broken : held;
 }
 
+/// One executor of eight is lost for good and silent, with the only task of the last job that was handed in.
+int runLostExecutor(const Options &options, Record &record)
+{
+    constexpr std::int64_t finishMs = 14'000;
+    constexpr std::int64_t idleMs = 3'000;
+    constexpr std::int64_t longestMs = 70'000;
+    Fleet fleet(record, options.program_, options.folder_, 3, 8, makeConfig(1));
+    if (!fleet.warmUp(milliseconds(30'000))) {
+        return couldNotRun;
+    }
+    const std::string id = jobId(1);
+    if (fleet.call(1, "POST", "/usual/" + id, jobOf("4000", 1, 1, false, 0)).status_ != 200) {
+        return couldNotRun;
+    }
+    const std::int64_t endMs = record.nowMs();
+    record.line("the traffic has ended");
+    while (runningOf(fleet, id) == 0) {
+        if (record.nowMs() > endMs + 5'000) {
+            return couldNotRun;
+        }
+        sleepMs(20);
+    }
+    sleepMs(2'000);
+    for (Side &side : fleet.sides_) {
+        const auto work = side.executor_->work();
+        const bool isBusy = std::any_of(work.begin(), work.end(), [](const Work &each) { return each.endedMs_ < 0; });
+        if (isBusy && options.trouble_) {
+            side.executor_->loseForGood();
+        }
+    }
+    bool late = false;
+    Answer state;
+    while (record.nowMs() < endMs + longestMs && state.body_.find("completed") == std::string::npos) {
+        sleepMs(200);
+        state = fleet.call(2, "GET", "/usual/" + id, "", false);
+        if (!late && record.nowMs() > endMs + finishMs + idleMs && runningOf(fleet, id) == 0) {
+            record.line("BROKEN: " + std::to_string(record.nowMs() - endMs)
+                        + " ms after the end of the traffic the job has nothing running, and seven executors are idle; its state is " + state.body_);
+            late = true;
+        }
+    }
+    record.line(std::to_string(record.nowMs() - endMs) + " ms after the end of the traffic the state is " + state.body_ + ", "
+                + std::to_string(workOf(fleet, id).size()) + " runs have begun");
+    return late ? broken : held;
+}
+
 /// One executor at a time crashes, each time that which runs the only task of a sound job.
 int runCrashingExecutors(const Options &options, Record &record)
 {
@@ -350,6 +396,7 @@
             : name == "silent"          ? runSilentConnections(options, record)
             : name == "filled"          ? runFilledExecutors(options, record)
             : name == "lasting"         ? runLastingWork(options, record)
+            : name == "lost"            ? runLostExecutor(options, record)
             : name == "crashes"         ? runCrashingExecutors(options, record)
                                         : couldNotRun;
     } catch (const std::exception &error) {
