--- a/review/harness-3/store.h
+++ b/review/harness-3/store.h
@@ -73,6 +73,8 @@
         Json body_ = Json::object();
     };
 
+    /// Counts a call against the rates of the platform, as in SYSTEM.md. Returns whether it is within them.
+    [[nodiscard]] bool admit(bool isWrite, double price);
     void serve(Port &port);
     [[nodiscard]] Json toJson(const std::string &key, const Item &item) const;
     [[nodiscard]] Answer get(const std::string &key);
@@ -91,6 +93,7 @@
     std::vector<std::pair<std::int64_t, Json>> history_;
     std::map<std::int64_t, Lease> leases_;
     std::map<std::string, int> watches_;
+    std::map<bool, std::pair<Clock::time_point, double>> spent_; ///< by whether they write: the present second and what it has seen
     std::int64_t revision_ = 100;
     std::int64_t lastLease_ = 0;
     std::vector<std::unique_ptr<Port>> ports_;
