--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -90,7 +90,12 @@
 /// Returns a poll that waits for an end for up to \p wait. One that acknowledges ends doesn't wait: the tokens of starts rise until it is answered.
 PollCall AgentCore::pollCall(milliseconds wait)
 {
-    PollCall call{polledIncarnation(), fencingToken(), acknowledgement(), leaseEnd(), wait};
+    const auto lease = grantLease();
+    PollCall call{polledIncarnation(), fencingToken(), acknowledgement(), std::nullopt, wait};
+    if (lease) {
+        call.leaseEnd_ = lease->end_;
+        call.extension_ = lease->extension_;
+    }
     if (call.acknowledged_ > 0) {
         fencingTokens_.acknowledgementSent();
         call.wait_ = milliseconds(0);
@@ -128,7 +133,7 @@
         return refusedAt_;
     }
     // A call that was given up may have started a run, or extended its lease, on a next incarnation that isn't known.
-    return now_ > lastLeaseEnd_ + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_) ? now_ : Instant();
+    return now_ > leases_.end() + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_) ? now_ : Instant();
 }
 
 /// Returns up to when it is known what ran on the executor.
@@ -197,19 +202,19 @@
     return clock_ + std::chrono::duration_cast<milliseconds>(at - clockAt_);
 }
 
-std::optional<ExecutorTime> AgentCore::leaseEnd()
+/// Returns the lease that a call which is made now grants, or nothing if it grants none.
+std::optional<AgentCore::LeaseGrant> AgentCore::grantLease()
 {
     const Instant end = std::min(now_ + leaseDuration, permitEnd_);
-    // An executor that has left, or whose process doesn't seem to run, is given no leases, so that its runs are certain to end soon. The clock of a
-    // next incarnation begins anew; a time on the former clock would be taken as the longest lease.
-    if (!clockKnown_ || end <= now_ || executor_.hasLeft_ || refusedSince_ || isReplaced()) {
+    // An executor that has left, is silent or whose process doesn't seem to run is given no leases, so that its runs are certain to end soon. The clock of
+    // a next incarnation begins anew; a time on the former clock would be taken as the longest lease.
+    if (!clockKnown_ || end <= now_ || executor_.hasLeft_ || refusedSince_ || isSilent() || isReplaced()) {
         return std::nullopt;
     }
     if (listsValid_ && orders_.areAllStopsOverdue(now_, running_)) {
         return std::nullopt; // what refuses to be stopped ends with its lease
     }
-    lastLeaseEnd_ = std::max(lastLeaseEnd_, clockAt_ + withSlowClockAllowance(end - clockAt_));
-    return executorClock(end);
+    return LeaseGrant{executorClock(end), leases_.add(clockAt_ + withSlowClockAllowance(end - clockAt_))};
 }
 
 void AgentCore::handle(const Directive &directive)
@@ -309,13 +314,13 @@
         const bool isRepeated = run.run_ > 1;
         if (start == nullptr) {
             outputs_.emplace_back(CallStop{executor_.incarnation_, run, fencingToken()});
-        } else if (const auto end = leaseEnd()) {
+        } else if (const auto lease = grantLease()) {
             const milliseconds queueTime = isRepeated ? maxCallQueueTimeAfterAnswer : maxCallQueueTime;
-            outputs_.emplace_back(CallStart{executor_.incarnation_, *start, *end, fencingToken(), now_ + queueTime});
+            outputs_.emplace_back(CallStart{executor_.incarnation_, *start, lease->end_, fencingToken(), now_ + queueTime, lease->extension_});
             orders_.recordStartCall(run);
             reportDue_ = reportDue_ || isRepeated; // if the executor crashes and takes this process along, the leader knows of the call
         } else {
-            orders_.giveUpStart(now_, run, refusedSince_.has_value());
+            orders_.giveUpStart(now_, run, refusedSince_.has_value() || isSilent());
             reportDue_ = true;
         }
     }
@@ -349,6 +354,9 @@
 
 void AgentCore::handle(const StartAnswered &answer)
 {
+    if (!answer.wasSent_ || answer.connectionRefused_) {
+        leases_.withdraw(answer.extension_);
+    }
     const auto logOutcome = [&](const char *event) {
         log(event, {{"run", toString(answer.run_)}, {"tries", std::to_string(orders_.attempts(answer.run_))}, {"reason", answer.reason_}});
     };
@@ -413,7 +421,7 @@
         rebornAt_ = sameName ? std::optional(now_) : std::nullopt;
         // Until it has seen its fencing token, it carries out calls to a former incarnation, whose clock was ahead: the lease is then the longest.
         if (fencedStartTimeMs_ != incarnation.startTimeMs_) {
-            lastLeaseEnd_ = now_ + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_);
+            leases_.reset(now_ + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_));
         }
     }
     if (heartbeat.executor_.capacity_ != executor_.capacity_) {
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/batch/fencing_tokens.h"
+#include "core/batch/lease_extensions.h"
 #include "core/batch/messages.h"
 #include "core/batch/orders.h"
 #include "core/batch/start_times.h"
@@ -25,6 +26,13 @@
     milliseconds maxGap_{2'500}; ///< longest time between two heartbeats of an executor that lives
 };
 
+/// What is known of a call to the executor that returned no result.
+enum class CallFailure : std::uint8_t {
+    Unanswered, ///< it may have been carried out, or may be seconds later
+    NotSent, ///< no connection was established
+    Rejected, ///< the executor answered that it hasn't carried it out
+};
+
 // Inputs
 
 struct HeartbeatReceived
@@ -60,6 +68,8 @@
     bool fenced_ = false; ///< the executor has seen a higher fencing token
     std::int64_t fencingToken_ = 0; ///< fencing token of the poll
     std::int64_t acknowledged_ = 0; ///< number up to which the poll acknowledged ends
+    CallFailure failure_ = CallFailure::Unanswered;
+    ExtensionId extension_ = ExtensionId::None; ///< as in the poll
 };
 
 struct StartAnswered
@@ -68,6 +78,8 @@
     OrderAnswer answer_ = OrderAnswer::Unknown;
     std::string reason_;
     bool connectionRefused_ = false; ///< the executor's process isn't running
+    bool wasSent_ = true; ///< false if no connection was established, or the call came too late to be sent
+    ExtensionId extension_ = ExtensionId::None; ///< as in the call
 };
 
 /// A connection to a leader was established; no report has been sent over it yet.
@@ -93,6 +105,7 @@
     ExecutorTime leaseEnd_{0};
     std::int64_t fencingToken_ = 0;
     Instant sendBefore_{}; ///< a call that hasn't been sent by then is not sent at all, and answered as refused
+    ExtensionId extension_ = ExtensionId::None; ///< returned with the answer
 };
 
 struct CallStop
@@ -110,6 +123,7 @@
     std::int64_t acknowledged_ = 0;
     std::optional<ExecutorTime> leaseEnd_; ///< unset while no permit is valid
     milliseconds wait_{0}; ///< how long the executor may wait for a run to end before it answers
+    ExtensionId extension_ = ExtensionId::None; ///< returned with a failure
 };
 
 using AgentOutput = std::variant<CallStart, CallStop, PollCall, Report, LogEvent>;
@@ -153,6 +167,13 @@
     void handle(const StartAnswered &answer);
     void handle(const StopAnswered &answer);
 
+    /// A lease that a call grants.
+    struct LeaseGrant
+    {
+        ExecutorTime end_{0};
+        ExtensionId extension_ = ExtensionId::None;
+    };
+
     bool refuseOrStart(const StartOrder &start);
     [[nodiscard]] bool knowsCapacity() const;
     [[nodiscard]] bool isReplaced() const;
@@ -160,6 +181,8 @@
     void raiseTokenForStarts(const std::vector<RunId> &due);
     void raiseToken(const char *reason);
     [[nodiscard]] bool isGone() const;
+    [[nodiscard]] bool isSilent() const;
+    void noteSilence(const PollFailed &failure);
     [[nodiscard]] Instant sentAt(const HeartbeatReceived &heartbeat) const;
     [[nodiscard]] std::int64_t startTimeOf(const PollAnswered &answer);
     void noteReplacement(std::int64_t startTimeMs);
@@ -180,7 +203,7 @@
     [[nodiscard]] milliseconds executorUptime() const;
     void log(std::string event, std::vector<std::pair<std::string, std::string>> fields);
     [[nodiscard]] ExecutorTime executorClock(Instant at) const;
-    [[nodiscard]] std::optional<ExecutorTime> leaseEnd();
+    [[nodiscard]] std::optional<LeaseGrant> grantLease();
     [[nodiscard]] Report report();
     void addEndsTo(Report &report) const;
     [[nodiscard]] std::optional<Instant> echoedReport(const Directive &directive) const;
@@ -208,11 +231,13 @@
     bool clockKnown_ = false;
     ExecutorTime clock_{0}; ///< the executor's clock at clockAt_
     Instant clockAt_{};
-    Instant lastLeaseEnd_{}; ///< when all leases granted so far have expired, even on a slow executor clock
+    LeaseExtensions leases_; ///< when all leases granted so far have expired, even on a slow executor clock
     std::optional<Instant> rebornAt_; ///< when the present incarnation was first heard of, if the former one had the same name
     Instant heardAt_{}; ///< when the present incarnation last sent a heartbeat or answered a poll
     Instant refusedAt_{}; ///< when the last poll met a refused connection
     std::optional<Instant> refusedSince_; ///< since when all polls have met a refused connection
+    std::optional<Instant> unansweredSince_; ///< since when no poll has been answered
+    Instant unansweredAt_{}; ///< when a poll last wasn't answered
     int failedPolls_ = 0; ///< consecutive polls without a usable answer
     bool listsValid_ = false;
     Instant listsSentAt_{}; ///< when the poll that returned the lists was sent
--- a/src/core/batch/agent_polls.cpp
+++ b/src/core/batch/agent_polls.cpp
@@ -12,11 +12,18 @@
 /// Polls that are further apart than this don't show what the executor did in the meantime: the agent's process was paused.
 constexpr milliseconds maxPollGap{1'000};
 
+/// As above, for polls that aren't answered: each may take as long as its wait and the timeouts of the call.
+constexpr milliseconds maxUnansweredPollGap{2'500};
+
+/// An executor that sends heartbeats but has answered no poll for this long is silent as well.
+constexpr milliseconds maxUnansweredTime{8'000};
+
 }
 
 void AgentCore::handle(const PollAnswered &answer)
 {
     refusedSince_.reset();
+    unansweredSince_.reset();
     failedPolls_ = 0;
     if (answer.acknowledged_ > 0) {
         fencingTokens_.acknowledgementSettled(answer.fencingToken_);
@@ -70,6 +77,27 @@
     return refusedSince_ && now_ - *refusedSince_ >= heartbeatLimits_.maxGap_ && heartbeatAt_ <= *refusedSince_;
 }
 
+/// Returns whether nothing shows that the executor lives, neither an answer nor, for long enough, a heartbeat: it may have lost its power, or hang.
+bool AgentCore::isSilent() const
+{
+    if (!unansweredSince_) {
+        return false;
+    }
+    const Instant lastSign = std::max(heartbeatAt_, *unansweredSince_);
+    return now_ - lastSign >= heartbeatLimits_.maxGap_ || now_ - *unansweredSince_ >= maxUnansweredTime;
+}
+
+/// Records whether the executor answered the poll that failed.
+void AgentCore::noteSilence(const PollFailed &failure)
+{
+    if (failure.fenced_ || failure.failure_ == CallFailure::Rejected) {
+        unansweredSince_.reset();
+        return;
+    }
+    unansweredSince_ = unansweredSince_ && now_ - unansweredAt_ <= maxUnansweredPollGap ? unansweredSince_ : now_;
+    unansweredAt_ = now_;
+}
+
 /// Returns the corrected start time of the incarnation that gave \p answer. An answer to a poll that was sent after the present incarnation was last
 /// heard of comes from a later one, even if that says that it started earlier: its clock was set back.
 std::int64_t AgentCore::startTimeOf(const PollAnswered &answer)
@@ -89,7 +117,7 @@
         return;
     }
     fencedStartTimeMs_ = startTimeMs;
-    lastLeaseEnd_ = now_ + withSlowClockAllowance(maxLeaseDuration_);
+    leases_.reset(now_ + withSlowClockAllowance(maxLeaseDuration_));
 }
 
 void AgentCore::noteReplacement(std::int64_t startTimeMs)
@@ -114,9 +142,13 @@
         refusedSince_ = refusedSince_ && now_ - refusedAt_ <= maxPollGap ? refusedSince_ : now_;
         refusedAt_ = now_;
     }
-    if (failure.acknowledged_ > 0 && (failure.refused_ || failure.fenced_)) {
-        fencingTokens_.acknowledgementSettled(failure.fencingToken_);
+    if (failure.refused_ || failure.fenced_ || failure.failure_ != CallFailure::Unanswered) { // it wasn't carried out
+        leases_.withdraw(failure.extension_);
+        if (failure.acknowledged_ > 0) {
+            fencingTokens_.acknowledgementSettled(failure.fencingToken_);
+        }
     }
+    noteSilence(failure);
     if (failure.fenced_ && epoch_ != 0 && failure.fencingToken_ == fencingToken()) {
         raiseToken("fenced"); // a former process has raised it
     }
@@ -129,7 +161,7 @@
     }
     if (isGone()) {
         assumeNothingRuns("executor-gone");
-    } else if (clockKnown_ && now_ > lastLeaseEnd_ && !isReplaced()) {
+    } else if (clockKnown_ && now_ > leases_.end() && !isReplaced()) {
         assumeNothingRuns("lease-over");
     }
 }
@@ -155,7 +187,7 @@
         {{"executor", executor_.incarnation_.executor_.str()},
          {"reason", reason},
          {"late_starts", std::to_string(orders_.lateStarts(now_))},
-         {"lease_over_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - lastLeaseEnd_).count())},
+         {"lease_over_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - leases_.end()).count())},
          {"lists_age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now_ - listsSentAt_).count())}});
     listsValid_ = true;
     listedAt_ = now_.time_since_epoch();
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -45,6 +45,22 @@
     return {settings.contactTime_ + settings.heartbeatPeriod_ - longestHeartbeatDelay, settings.heartbeatPeriod_ + longestHeartbeatDelay};
 }
 
+batch::CallFailure toCallFailure(platform::PollErrc error)
+{
+    switch (error) {
+    case platform::PollErrc::ConnectionRefused:
+    case platform::PollErrc::NotSent:
+        return batch::CallFailure::NotSent;
+    case platform::PollErrc::Fenced:
+    case platform::PollErrc::Rejected:
+        return batch::CallFailure::Rejected;
+    case platform::PollErrc::NoReply:
+    case platform::PollErrc::BadReply:
+        break;
+    }
+    return batch::CallFailure::Unanswered;
+}
+
 /// The agent process, which runs next to an executor and connects it to the leader.
 class AgentHost
 {
@@ -197,7 +213,12 @@
             },
             [&](const platform::PollError &error) {
                 const bool refused = error.code_ == platform::PollErrc::ConnectionRefused;
-                inputs_.put(batch::PollFailed{refused, error.code_ == platform::PollErrc::Fenced, call.fencingToken_, call.acknowledged_});
+                inputs_.put(batch::PollFailed{refused,
+                                              error.code_ == platform::PollErrc::Fenced,
+                                              call.fencingToken_,
+                                              call.acknowledged_,
+                                              toCallFailure(error.code_),
+                                              call.extension_});
                 return refused ? PollResult::ConnectionRefused : PollResult::Failed;
             },
             [] { return PollResult::Failed; });
@@ -225,11 +246,11 @@
     void callStart(platform::ExecutorClient &client, const batch::CallStart &start)
     {
         if (bootNow() > start.sendBefore_) {
-            inputs_.put(batch::StartAnswered{start.order_.run_, batch::OrderAnswer::Refused, "not-sent-in-time"});
+            inputs_.put(batch::StartAnswered{start.order_.run_, batch::OrderAnswer::Refused, "not-sent-in-time", false, false, start.extension_});
             return;
         }
         const auto result = client.start(start.incarnation_, start.order_, start.leaseEnd_, start.fencingToken_);
-        inputs_.put(batch::StartAnswered{start.order_.run_, result.answer_, result.reason_, result.connectionRefused_});
+        inputs_.put(batch::StartAnswered{start.order_.run_, result.answer_, result.reason_, result.connectionRefused_, result.wasSent_, start.extension_});
     }
 
     /// Connects to the leader and reads its directives. Looks for the leader again when the connection ends.
--- /dev/null
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -0,0 +1,172 @@
+#include "batch/expect_cluster.h"
+#include "batch/orders_bench.h"
+#include "support/expect.h"
+
+namespace bergamotwick::test {
+
+namespace {
+
+using batch::CallFailure;
+
+/// Time from one unanswered poll to the next: its wait, the call's timeout and the pause.
+constexpr auto pollInterval = 900ms;
+
+/// Longest time from an executor's last sign of life until its runs are known to have ended: until it counts as silent, its leases and two polls.
+constexpr auto longestDetection = 12s;
+
+/// An agent whose executor has listed run and then answers no poll.
+class SilentExecutor : public OrdersBench
+{
+public:
+    SilentExecutor()
+    {
+        (void)answerStart(batch::OrderAnswer::Accepted);
+        answerPoll({{run, "", 10, 0}});
+        advance(batch::withSlowClockAllowance(batch::defaultMaxLeaseDuration) + 1s); // that of a new incarnation's first token
+        sendHeartbeat("x", 5'000);
+        keepPermitted();
+        answerPoll({{run, "", 20, 0}});
+    }
+
+    /// Lets one poll fail after \p interval.
+    void failPoll(CallFailure failure, Duration interval = pollInterval)
+    {
+        const batch::PollCall call = nextPoll();
+        advance(interval);
+        batch::PollFailed failed;
+        failed.fencingToken_ = call.fencingToken_;
+        failed.failure_ = failure;
+        failed.extension_ = call.extension_;
+        (void)step({failed});
+    }
+
+    void failPolls(CallFailure failure, Duration length)
+    {
+        for (Duration failed{0}; failed < length; failed += pollInterval) {
+            failPoll(failure);
+            keepPermitted();
+        }
+    }
+
+    /// Lets the leader permit leases, as it does while the agent reports.
+    void keepPermitted()
+    {
+        (void)step({directive()});
+    }
+
+    [[nodiscard]] bool reportsNothingRunning()
+    {
+        const batch::Report last = report();
+        return last.listsValid_ && last.running_.empty();
+    }
+};
+
+}
+
+/// Executors that are silent for good or for a while: without an answer to a call, and possibly without heartbeats.
+class BatchSilentExecutorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BatchSilentExecutorTest);
+    CPPUNIT_TEST(pollThatWasNotSentExtendsNoLease);
+    CPPUNIT_TEST(pollThatWasRejectedExtendsNoLease);
+    CPPUNIT_TEST(pollThatMayArriveLateExtendsTheLeases);
+    CPPUNIT_TEST(silentExecutorIsGivenNoMoreLeases);
+    CPPUNIT_TEST(leasesOfAnExecutorThatSendsHeartbeatsAreExtendedForLonger);
+    CPPUNIT_TEST(executorThatAnswersAgainIsGivenLeases);
+    CPPUNIT_TEST(pauseOfTheAgentIsNotTakenAsSilence);
+    CPPUNIT_TEST(runsOfAHangingExecutorStartElsewhere);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Review case 11: the leases of an executor that nothing reached counted as extended for ever, so that its runs were never given out again.
+    void pollThatWasNotSentExtendsNoLease()
+    {
+        SilentExecutor agent;
+        agent.failPolls(CallFailure::NotSent, batch::leaseDuration + 1s);
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    void pollThatWasRejectedExtendsNoLease()
+    {
+        SilentExecutor agent;
+        agent.failPolls(CallFailure::Rejected, batch::leaseDuration + 1s);
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    void pollThatMayArriveLateExtendsTheLeases()
+    {
+        SilentExecutor agent; // its last answer extends them by leaseDuration
+        agent.advance(1s);
+        agent.keepPermitted();
+        agent.failPoll(CallFailure::Unanswered);
+        agent.failPolls(CallFailure::NotSent, batch::leaseDuration - 1s - pollInterval);
+        CPPUNIT_ASSERT(!agent.reportsNothingRunning());
+        agent.failPolls(CallFailure::NotSent, 1s);
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    // Review case 11 with an executor whose process hangs: connections to it are accepted and carry nothing.
+    void silentExecutorIsGivenNoMoreLeases()
+    {
+        SilentExecutor agent;
+        agent.failPolls(CallFailure::Unanswered, pollInterval + batch::HeartbeatLimits{}.maxGap_);
+        CPPUNIT_ASSERT(!agent.nextPoll().leaseEnd_.has_value());
+        agent.failPolls(CallFailure::Unanswered, batch::leaseDuration + 1s);
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    void leasesOfAnExecutorThatSendsHeartbeatsAreExtendedForLonger()
+    {
+        SilentExecutor agent;
+        for (int poll = 0; poll < 6; ++poll) {
+            agent.failPoll(CallFailure::Unanswered);
+            agent.keepPermitted();
+            agent.sendHeartbeat("x", 5'000);
+        }
+        CPPUNIT_ASSERT(agent.nextPoll().leaseEnd_.has_value());
+        CPPUNIT_ASSERT(!agent.reportsNothingRunning());
+        for (int poll = 0; poll < 16; ++poll) {
+            agent.failPoll(CallFailure::Unanswered);
+            agent.keepPermitted();
+            agent.sendHeartbeat("x", 5'000);
+        }
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    void executorThatAnswersAgainIsGivenLeases()
+    {
+        SilentExecutor agent;
+        agent.failPolls(CallFailure::Unanswered, pollInterval + batch::HeartbeatLimits{}.maxGap_);
+        agent.answerPoll({{run, "", 40, 0}});
+        CPPUNIT_ASSERT(agent.nextPoll().leaseEnd_.has_value());
+        CPPUNIT_ASSERT(!agent.reportsNothingRunning());
+    }
+
+    void pauseOfTheAgentIsNotTakenAsSilence()
+    {
+        SilentExecutor agent;
+        agent.failPoll(CallFailure::Unanswered);
+        agent.failPoll(CallFailure::Unanswered, 4s);
+        agent.keepPermitted();
+        CPPUNIT_ASSERT(agent.nextPoll().leaseEnd_.has_value());
+    }
+
+    void runsOfAHangingExecutorStartElsewhere()
+    {
+        Cluster cluster(2, 1);
+        cluster.setCapacity(1, {});
+        cluster.run(2s);
+        cluster.submit(makeJob("job", 1, wholeExecutor, 4s));
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.allStarts());
+        cluster.setCapacity(1, executorCapacity);
+        cluster.crashExecutor(0, 1h, false, true);
+        cluster.run(longestDetection + 5s);
+        expectNoViolation(cluster);
+        CPPUNIT_ASSERT(cluster.state(JobId("job")) == batch::JobState::Completed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BatchSilentExecutorTest);
+
+}
