--- a/tests/batch/cluster.h
+++ b/tests/batch/cluster.h
@@ -33,6 +33,7 @@
     AnswersLost, ///< calls are carried out, but neither their answers nor heartbeats reach the agent
     Unhealthy, ///< calls are answered with status 503 and not carried out
     Refusing, ///< connections are refused although the executor is up
+    NotConnected, ///< attempts to connect aren't answered, so that no call is sent
     Slow, ///< requests and answers take up to half of the call's timeout each
 };
 
--- a/tests/batch/cluster_calls.cpp
+++ b/tests/batch/cluster_calls.cpp
@@ -11,6 +11,9 @@
 
 constexpr const char *timeoutReason = "timeout";
 constexpr const char *fencedReason = "fence";
+constexpr const char *notConnectedReason = "not-connected";
+
+constexpr milliseconds connectTimeout{300};
 
 template<class... Handlers>
 struct Overloaded : Handlers...
@@ -23,7 +26,8 @@
 
 batch::AgentInput makeAnswer(const batch::CallStart &call, OrderAnswer answer, const std::string &reason, bool connectionRefused)
 {
-    return batch::StartAnswered{call.order_.run_, answer, reason, connectionRefused};
+    const bool wasSent = !connectionRefused && reason != notConnectedReason;
+    return batch::StartAnswered{call.order_.run_, answer, reason, connectionRefused, wasSent, call.extension_};
 }
 
 batch::AgentInput makeAnswer(const batch::CallStop &call, OrderAnswer answer, const std::string &reason, bool)
@@ -31,9 +35,13 @@
     return batch::StopAnswered{call.run_, answer, reason};
 }
 
-batch::AgentInput makeAnswer(const batch::PollCall &call, OrderAnswer, const std::string &reason, bool connectionRefused)
+batch::AgentInput makeAnswer(const batch::PollCall &call, OrderAnswer answer, const std::string &reason, bool connectionRefused)
 {
-    return batch::PollFailed{connectionRefused, reason == fencedReason, call.fencingToken_, call.acknowledged_};
+    const bool wasSent = !connectionRefused && reason != notConnectedReason;
+    const batch::CallFailure failure = !wasSent ? batch::CallFailure::NotSent
+        : answer == OrderAnswer::Unknown        ? batch::CallFailure::Unanswered
+                                                : batch::CallFailure::Rejected;
+    return batch::PollFailed{connectionRefused, reason == fencedReason, call.fencingToken_, call.acknowledged_, failure, call.extension_};
 }
 
 template<class Call>
@@ -138,6 +146,10 @@
         deliver(sent, now_ + netLatency, makeAnswer(sent.call_, OrderAnswer::Refused, "nobody-listens", true));
         return;
     }
+    if (has(host, CallFault::NotConnected)) {
+        deliver(sent, now_ + connectTimeout, makeAnswer(sent.call_, OrderAnswer::Refused, notConnectedReason));
+        return;
+    }
     if (chance(isPoll ? faults_->delayedPollRate_ : faults_->delayedOrderRate_)) {
         delayCall(index, sent.call_);
         leaveUnanswered(sent);
--- a/tests/model/call_results.h
+++ b/tests/model/call_results.h
@@ -35,7 +35,8 @@
 
 inline batch::AgentInput toAgentInput(const batch::CallStart &call, CallResult result)
 {
-    return batch::StartAnswered{call.order_.run_, toOrderAnswer(result), "", result == CallResult::ConnectionRefused};
+    const bool isRefused = result == CallResult::ConnectionRefused;
+    return batch::StartAnswered{call.order_.run_, toOrderAnswer(result), "", isRefused, !isRefused, call.extension_};
 }
 
 inline batch::AgentInput toAgentInput(const batch::CallStop &call, CallResult result)
@@ -46,7 +47,11 @@
 /// Precondition: \p result isn't CallResult::Ok.
 inline batch::AgentInput toAgentInput(const batch::PollCall &call, CallResult result)
 {
-    return batch::PollFailed{result == CallResult::ConnectionRefused, result == CallResult::Conflict, call.fencingToken_, call.acknowledged_};
+    const batch::CallFailure failure = result == CallResult::ConnectionRefused ? batch::CallFailure::NotSent
+        : result == CallResult::NoAnswer                                       ? batch::CallFailure::Unanswered
+                                                                               : batch::CallFailure::Rejected;
+    return batch::PollFailed{
+        result == CallResult::ConnectionRefused, result == CallResult::Conflict, call.fencingToken_, call.acknowledged_, failure, call.extension_};
 }
 
 }
--- a/tests/process/executor_client_test.cpp
+++ b/tests/process/executor_client_test.cpp
@@ -2,11 +2,17 @@
 
 #include "executor_client.h"
 
+#include "net/socket.h"
 #include "support/expect.h"
 #include "support/stand_ins.h"
 
 #include <httplib.h>
 
+#include <array>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
 namespace bergamotwick::test {
 
 namespace {
@@ -15,9 +21,10 @@
 class FixedReplyExecutor : public LoopbackServer
 {
 public:
-    explicit FixedReplyExecutor(const std::string &body)
+    explicit FixedReplyExecutor(const std::string &body, int status = 200)
     {
-        server_->set_pre_routing_handler([body](const httplib::Request &, httplib::Response &response) {
+        server_->set_pre_routing_handler([body, status](const httplib::Request &, httplib::Response &response) {
+            response.status = status;
             response.set_content(body, "application/json");
             return httplib::Server::HandlerResponse::Handled;
         });
@@ -30,6 +37,33 @@
     }
 };
 
+/// An address at which attempts to connect aren't answered: its queue of new connections is full.
+class UnansweringAddress
+{
+public:
+    UnansweringAddress()
+    {
+        ::listen(listener_.descriptor(), 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(listener_.local().port());
+        ::inet_pton(AF_INET, "127.0.0.2", &address.sin_addr);
+        for (Socket &waiting : waiting_) {
+            waiting = Socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+            (void)::connect(waiting.descriptor(), reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        }
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return listener_.local().str();
+    }
+
+private:
+    Socket listener_ = value(listenTcp(*Address::parse("127.0.0.2:0")));
+    std::array<Socket, 3> waiting_;
+};
+
 Result<platform::PollResponse> poll(const std::string &body)
 {
     const FixedReplyExecutor executor(body);
@@ -44,6 +78,8 @@
     CPPUNIT_TEST_SUITE(ExecutorClientTest);
     CPPUNIT_TEST(listsAreRead);
     CPPUNIT_TEST(numbersOutOfRangeAreBadReplies);
+    CPPUNIT_TEST(callWithoutAConnectionWasNotSent);
+    CPPUNIT_TEST(rejectedPollIsToldFromALostReply);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,6 +101,28 @@
             CPPUNIT_ASSERT_MESSAGE(ended, errorOf<platform::PollError>([&] { return poll(ended); }).code_ == platform::PollErrc::BadReply);
         }
     }
+
+    // Review case 11: starts that had never left kept their tasks waiting on an executor that was lost for good.
+    void callWithoutAConnectionWasNotSent()
+    {
+        const UnansweringAddress executor;
+        platform::ExecutorClient client(executor.address());
+        const auto start = client.start({}, {}, batch::ExecutorTime(1'000), 1);
+        CPPUNIT_ASSERT(start.answer_ == batch::OrderAnswer::Refused && !start.wasSent_ && !start.connectionRefused_);
+        CPPUNIT_ASSERT(client.stop({}, {}, 1).answer_ == batch::OrderAnswer::Refused);
+        const auto error = errorOf<platform::PollError>([&] { return client.poll({}, 1, 0, std::nullopt, batch::milliseconds(0)); });
+        CPPUNIT_ASSERT(error.code_ == platform::PollErrc::NotSent);
+    }
+
+    void rejectedPollIsToldFromALostReply()
+    {
+        for (const int status : {421, 429, 503}) {
+            const FixedReplyExecutor executor("{}", status);
+            platform::ExecutorClient client("127.0.0.1:" + std::to_string(executor.port()));
+            const auto error = errorOf<platform::PollError>([&] { return client.poll({}, 1, 0, std::nullopt, hangTimeout); });
+            CPPUNIT_ASSERT(error.code_ == platform::PollErrc::Rejected);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorClientTest);
--- a/tests/unit/batch_silent_executor_test.cpp
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(executorThatAnswersAgainIsGivenLeases);
     CPPUNIT_TEST(pauseOfTheAgentIsNotTakenAsSilence);
     CPPUNIT_TEST(runsOfAHangingExecutorStartElsewhere);
+    CPPUNIT_TEST(startsThatWereNotSentAreMadeElsewhere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +166,24 @@
         expectNoViolation(cluster);
         CPPUNIT_ASSERT(cluster.state(JobId("job")) == batch::JobState::Completed);
     }
+
+    // Review case 11 with eight jobs handed in 0.2 s after the loss: the emptiest executor got seven of them, and they never began elsewhere.
+    void startsThatWereNotSentAreMadeElsewhere()
+    {
+        Cluster cluster(3, 1);
+        cluster.run(batch::maxCallDelay + 1s); // the agents know that no former process of theirs has called a start
+        cluster.crashExecutor(0, 1h, false, true);
+        cluster.disturbCalls(0, CallFault::NotConnected, 1h);
+        cluster.run(200ms);
+        for (int number = 0; number < 8; ++number) {
+            cluster.submit(makeJob("job-" + std::to_string(number), 1, {1'000, 1'000, 1}, 1s));
+        }
+        cluster.run(5s);
+        expectNoViolation(cluster);
+        for (int number = 0; number < 8; ++number) {
+            CPPUNIT_ASSERT(cluster.state(JobId("job-" + std::to_string(number))) == batch::JobState::Completed);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BatchSilentExecutorTest);
