--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -276,7 +276,7 @@
     }
     const bool drains = executor_.draining_ || executor_.hasLeft_;
     if (!drains && knowsCapacity()) {
-        return orders_.start(now_, start);
+        return orders_.start(now_, start, hasJustAnswered() || refusedSince_ || isSilent()); // if it is away, the start is given up at once
     }
     if (orders_.refuse(now_, start.run_)) {
         reportDue_ = true;
@@ -415,6 +415,7 @@
         listsValid_ = false;
         incarnationConfirmed_ = false;
         clockKnown_ = false;
+        answeredAt_ = Instant();
         acknowledged_ = 0;
         ended_.clear();
         orders_.executorReplaced(now_, sameName, knownAt());
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -182,6 +182,7 @@
     void raiseToken(const char *reason);
     [[nodiscard]] bool isGone() const;
     [[nodiscard]] bool isSilent() const;
+    [[nodiscard]] bool hasJustAnswered() const;
     void noteSilence(const PollFailed &failure);
     [[nodiscard]] Instant sentAt(const HeartbeatReceived &heartbeat) const;
     [[nodiscard]] std::int64_t startTimeOf(const PollAnswered &answer);
@@ -236,6 +237,7 @@
     Instant heardAt_{}; ///< when the present incarnation last sent a heartbeat or answered a poll
     Instant refusedAt_{}; ///< when the last poll met a refused connection
     std::optional<Instant> refusedSince_; ///< since when all polls have met a refused connection
+    Instant answeredAt_{}; ///< when the present incarnation last answered a poll
     std::optional<Instant> unansweredSince_; ///< since when no poll has been answered
     Instant unansweredAt_{}; ///< when a poll last wasn't answered
     int failedPolls_ = 0; ///< consecutive polls without a usable answer
--- a/src/core/batch/agent_polls.cpp
+++ b/src/core/batch/agent_polls.cpp
@@ -15,6 +15,9 @@
 /// As above, for polls that aren't answered: each may take as long as its wait and the timeouts of the call.
 constexpr milliseconds maxUnansweredPollGap{2'500};
 
+/// For this long after an answer an executor isn't polled before a start. Polls are answered once in pollWait while nothing ends.
+constexpr milliseconds maxAnswerAge{100};
+
 /// An executor that sends heartbeats but has answered no poll for this long is silent as well.
 constexpr milliseconds maxUnansweredTime{8'000};
 
@@ -48,6 +51,7 @@
     if (!isOfPresentTerm(answer.fencingToken_)) {
         return;
     }
+    answeredAt_ = now_;
     orders_.executorAnswered(now_, answer.sentAt_);
     if (listsValid_ && answer.sentAt_ < listsSentAt_) {
         return; // the answer to a later poll has already been processed
@@ -87,6 +91,12 @@
     return now_ - lastSign >= heartbeatLimits_.maxGap_ || now_ - *unansweredSince_ >= maxUnansweredTime;
 }
 
+/// Returns whether the executor has answered so recently that starts are called without another poll.
+bool AgentCore::hasJustAnswered() const
+{
+    return !unansweredSince_ && answeredAt_ != Instant() && now_ - answeredAt_ <= maxAnswerAge;
+}
+
 /// Records whether the executor answered the poll that failed.
 void AgentCore::noteSilence(const PollFailed &failure)
 {
@@ -149,6 +159,9 @@
         }
     }
     noteSilence(failure);
+    if (!failure.refused_ && orders_.isAnyAwaitingAnswer()) {
+        pollNow(); // the connection may have been lost alone
+    }
     if (failure.fenced_ && epoch_ != 0 && failure.fencingToken_ == fencingToken()) {
         raiseToken("fenced"); // a former process has raised it
     }
--- a/src/core/batch/inferred_ends.cpp
+++ b/src/core/batch/inferred_ends.cpp
@@ -95,11 +95,24 @@
     return cluster.now_ - (report.sentAt_ - report.listedAt_) - pollWait;
 }
 
-/// Returns what \p report, by which an executor is lost, says of starts there that no list has shown.
-UnlistedStarts unlistedStarts(const ClusterState &cluster, const Report &report)
+/// Returns whether a former process of \p agent may have called the start of \p run.
+bool mayBeOfFormerProcess(const Run &run, const Agent &agent)
+{
+    return run.inherited_ || agent.restartedAt_ > run.startedAt_;
+}
+
+/// Returns what \p report, by which \p executor is lost, says of starts there that no list has shown.
+UnlistedStarts unlistedStarts(const ClusterState &cluster, const Executor &executor, const Report &report)
 {
     UnlistedStarts starts;
     const auto agent = cluster.agents_.find(report.agent_);
+    for (const RunId &id : executor.runs_) {
+        const Run &run = cluster.runs_.at(id);
+        const bool isUncalled = run.phase_ == RunPhase::Starting && !run.wasCalled_ && !isKnownToAgent(run, report);
+        if (isUncalled && agent != cluster.agents_.end() && !mayBeOfFormerProcess(run, agent->second)) {
+            starts.refused_.insert(id); // its agent would tell of a call
+        }
+    }
     const bool knowsCalls = agent != cluster.agents_.end() && cluster.now_ - agent->second.restartedAt_ >= maxCallDelay;
     for (const SettledOrder &order : report.settled_) {
         const auto run = cluster.runs_.find(order.run_);
@@ -113,12 +126,6 @@
     return starts;
 }
 
-/// Returns whether a former process of \p agent may have called the start of \p run.
-bool mayBeOfFormerProcess(const Run &run, const Agent &agent)
-{
-    return run.inherited_ || agent.restartedAt_ > run.startedAt_;
-}
-
 /// Settles the runs on \p executor that match \p predicate. Settling one may remove other members of its gang.
 template<class Predicate>
 void settleRuns(ClusterState &cluster, const Executor &executor, const char *reason, Predicate predicate)
@@ -271,7 +278,7 @@
 void recordEndOfIncarnation(ClusterState &cluster, Executor &executor, const Report &report)
 {
     const LossKind kind = executor.isLeaving_ ? LossKind::Left : LossKind::Crashed;
-    const ExecutorLoss loss = lossOf(cluster, executor, kind, unlistedStarts(cluster, report));
+    const ExecutorLoss loss = lossOf(cluster, executor, kind, unlistedStarts(cluster, executor, report));
     if ((!executor.lost_ && loss.kind_ != LossKind::Left) || !loss.runs_.empty()) {
         recordLoss(cluster, executor, loss);
     }
@@ -283,7 +290,7 @@
         return;
     }
     const LossKind kind = executor.isLeaving_ ? LossKind::Left : lossKindOf(executor, report);
-    const ExecutorLoss loss = lossOf(cluster, executor, kind, unlistedStarts(cluster, report));
+    const ExecutorLoss loss = lossOf(cluster, executor, kind, unlistedStarts(cluster, executor, report));
     if (kind != LossKind::Left || !loss.runs_.empty()) {
         recordLoss(cluster, executor, loss);
     }
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -114,7 +114,7 @@
     });
 }
 
-bool Orders::start(Instant now, const StartOrder &start)
+bool Orders::start(Instant now, const StartOrder &start, bool hasJustAnswered)
 {
     const auto [found, isNew] = orders_.try_emplace(start.run_);
     Order &order = found->second;
@@ -123,7 +123,7 @@
         order.start_ = start;
         order.mayHaveFormerCalls_ = !knowsAllCalls(now);
         order.phaseSince_ = now;
-        order.awaitsAnswer_ = start.run_.run_ > 1;
+        order.awaitsAnswer_ = start.run_.run_ > 1 || !hasJustAnswered;
         if (!order.awaitsAnswer_) {
             order.callAt_ = now;
         }
@@ -136,7 +136,7 @@
     for (auto &[run, order] : orders_) {
         if (order.awaitsAnswer_ && sentAt >= order.phaseSince_) {
             order.awaitsAnswer_ = false;
-            order.calledAfterAnswer_ = true;
+            order.calledAfterAnswer_ = run.run_ > 1;
             order.callAt_ = now;
         }
     }
@@ -427,6 +427,11 @@
     return found == orders_.end() ? 0 : found->second.attempts_;
 }
 
+bool Orders::isAnyAwaitingAnswer() const
+{
+    return std::any_of(orders_.begin(), orders_.end(), [](const auto &entry) { return entry.second.awaitsAnswer_; });
+}
+
 bool Orders::isAnyOpen() const
 {
     return std::any_of(orders_.begin(), orders_.end(), [](const auto &entry) {
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -43,10 +43,11 @@
     /// are forgotten.
     void executorReplaced(Instant now, bool sameName, Instant knownAt);
 
-    /// Adds the order to start \p start. A task's first start is called at once, a later one once the executor has answered a poll that was sent after the
-    /// order: if the executor crashes without an answer, the task is the likely cause. If there is an order for its run, records only that the leader
-    /// still wants it. Returns whether such a poll is needed.
-    bool start(Instant now, const StartOrder &start);
+    /// Adds the order to start \p start. It is called once the executor has answered a poll that was sent after the order: a call that isn't answered
+    /// keeps its run waiting, so that none is made to an executor that hangs. A task's first start is called at once if the executor \p hasJustAnswered.
+    /// After a later one, if the executor crashes without an answer, the task is the likely cause. If there is an order for its run, records only that the
+    /// leader still wants it. Returns whether such a poll is needed.
+    bool start(Instant now, const StartOrder &start, bool hasJustAnswered);
 
     /// Refuses the starts for which the executor has answered no poll in time, or stops them if a former process may have called them. Returns their runs.
     std::vector<RunId> giveUpUnanswered(Instant now);
@@ -136,6 +137,9 @@
     /// Returns how often the start of \p run has been called.
     [[nodiscard]] int attempts(const RunId &run) const;
 
+    /// Returns whether there is a start that is called once the executor has answered a poll.
+    [[nodiscard]] bool isAnyAwaitingAnswer() const;
+
     /// Returns whether there is an order whose run may be running on the present incarnation.
     [[nodiscard]] bool isAnyOpen() const;
 
@@ -172,7 +176,7 @@
         bool listed_ = false; ///< lists requested after the start was accepted show whether it runs
         bool awaitsAnswer_ = false; ///< its start is called once the executor has answered a poll
         bool isOfFormerName_ = false; ///< its calls were made to an executor of another name, which has ended
-        bool calledAfterAnswer_ = false; ///< its start was first called when the executor had just answered
+        bool calledAfterAnswer_ = false; ///< it is a later start of its task, first called when the executor had just answered
     };
 
     static void enter(Order &order, Phase phase, Instant now);
--- a/tests/unit/batch_orders_test.cpp
+++ b/tests/unit/batch_orders_test.cpp
@@ -196,6 +196,7 @@
         batch::Directive before = bench.directive();
         before.starts_ = {{run, "", "", ""}};
         bench.advance(200ms);
+        bench.answerPoll({}); // starts are called at once
         batch::HeartbeatReceived heartbeat;
         heartbeat.executor_.incarnation_ = {ExecutorId("x"), 5'000, ""};
         heartbeat.executor_.capacity_ = {-1, 0, 0};
@@ -203,6 +204,7 @@
         (void)bench.step({heartbeat});
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(bench.step({before})));
         bench.advance(100ms);
+        bench.answerPoll({});
         batch::Directive after = bench.directive();
         after.starts_ = before.starts_;
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStart>(bench.step({after})));
--- a/tests/unit/batch_silent_executor_test.cpp
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -76,6 +76,9 @@
     CPPUNIT_TEST(pauseOfTheAgentIsNotTakenAsSilence);
     CPPUNIT_TEST(runsOfAHangingExecutorStartElsewhere);
     CPPUNIT_TEST(startsThatWereNotSentAreMadeElsewhere);
+    CPPUNIT_TEST(startsForAHangingExecutorAreMadeElsewhere);
+    CPPUNIT_TEST(startWaitsForAnAnswerOfAnExecutorThatHasNotJustGivenOne);
+    CPPUNIT_TEST(startAfterAFailedPollIsCalledOnceAnotherIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -175,6 +178,51 @@
         cluster.crashExecutor(0, 1h, false, true);
         cluster.disturbCalls(0, CallFault::NotConnected, 1h);
         cluster.run(200ms);
+        expectJobsDoneSoon(cluster);
+    }
+
+    // As above on an executor that accepts connections and hangs: each start that it got held its task until the start could arrive late no more.
+    void startsForAHangingExecutorAreMadeElsewhere()
+    {
+        Cluster cluster(3, 1);
+        cluster.run(batch::maxCallDelay + 1s);
+        cluster.crashExecutor(0, 1h, false, true);
+        cluster.run(200ms);
+        expectJobsDoneSoon(cluster);
+    }
+
+    void startWaitsForAnAnswerOfAnExecutorThatHasNotJustGivenOne()
+    {
+        AgentBench agent;
+        agent.advance(300ms);
+        const auto outputs = agent.step({startOrder(agent)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(outputs));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::PollCall>(outputs));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStart>(agent.step({agent.answer({})})));
+    }
+
+    void startAfterAFailedPollIsCalledOnceAnotherIsAnswered()
+    {
+        AgentBench agent;
+        agent.advance(300ms);
+        (void)agent.step({startOrder(agent)});
+        const auto outputs = agent.step({batch::PollFailed{}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, AgentBench::count<batch::CallStart>(outputs));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::PollCall>(outputs));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStart>(agent.step({agent.answer({})})));
+    }
+
+private:
+    [[nodiscard]] static batch::Directive startOrder(AgentBench &agent)
+    {
+        batch::Directive order = agent.directive();
+        order.starts_ = {{run, "spec", "", ""}};
+        return order;
+    }
+
+    /// Hands in eight small jobs and fails unless they are done within five seconds.
+    static void expectJobsDoneSoon(Cluster &cluster)
+    {
         for (int number = 0; number < 8; ++number) {
             cluster.submit(makeJob("job-" + std::to_string(number), 1, {1'000, 1'000, 1}, 1s));
         }
