--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -242,7 +242,7 @@
     }
     acknowledged_ = std::max(acknowledged_, directive.acknowledged_);
     for (const RunId &run : directive.stops_) {
-        if (!isGone() || !orders_.isLost(run)) { // nothing runs that could be stopped; the next incarnation's lists decide
+        if (!(isGone() || isSilent()) || !orders_.isLost(run)) { // nothing runs that could be stopped; the next incarnation's lists decide
             orders_.stop(now_, run);
         }
     }
@@ -382,8 +382,9 @@
 
 void AgentCore::handle(const StopAnswered &answer)
 {
-    log("stop-answered", {{"run", toString(answer.run_)}, {"answer", toString(answer.answer_)}, {"reason", answer.reason_}});
-    orders_.stopAnswered(now_, answer.run_, answer.answer_);
+    if (orders_.stopAnswered(now_, answer.run_, answer.answer_)) {
+        log("stop-answered", {{"run", toString(answer.run_)}, {"answer", toString(answer.answer_)}, {"reason", answer.reason_}});
+    }
     const auto overdue = std::chrono::duration_cast<milliseconds>(orders_.stopOverdue(now_, answer.run_));
     if (overdue > milliseconds(0)) {
         log("stop-overdue", {{"run", toString(answer.run_)}, {"for_ms", std::to_string(overdue.count())}, {"reason", answer.reason_}});
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace bergamotwick::batch {
 
@@ -297,19 +298,24 @@
     }
 }
 
-void Orders::stopAnswered(Instant now, const RunId &run, OrderAnswer answer)
+bool Orders::stopAnswered(Instant now, const RunId &run, OrderAnswer answer)
 {
     const auto found = orders_.find(run);
-    if (found == orders_.end() || found->second.phase_ != Phase::Stopping) {
-        return;
+    if (found == orders_.end()) {
+        return true;
+    }
+    Order &order = found->second;
+    const bool isOther = std::exchange(order.stopAnswer_, answer) != answer;
+    if (order.phase_ != Phase::Stopping) {
+        return isOther;
     }
     if (answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyEnded) {
-        enter(found->second, Phase::Stopped, now);
-        return;
+        enter(order, Phase::Stopped, now);
+        return isOther;
     }
-    Order &order = found->second;
     order.wasStopRefused_ = order.wasStopRefused_ || answer == OrderAnswer::Refused;
     order.callAt_ = now + (stopOverdue(order, now) > Duration(0) ? overdueStopRetryDelay : retryDelay);
+    return isOther;
 }
 
 Duration Orders::stopOverdue(const Order &order, Instant now)
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -83,8 +83,8 @@
     /// Processes the answer to a start. \p connectionRefused tells that the executor's process wasn't running.
     [[nodiscard]] StartOutcome startAnswered(Instant now, const RunId &run, OrderAnswer answer, bool connectionRefused);
 
-    /// Processes the answer to a stop, which is called again unless it was carried out.
-    void stopAnswered(Instant now, const RunId &run, OrderAnswer answer);
+    /// Processes the answer to a stop, which is called again unless it was carried out. Returns whether the last call got another answer, or there was none.
+    bool stopAnswered(Instant now, const RunId &run, OrderAnswer answer);
 
     /// Returns for how long the stop of \p run has been called without being carried out, if that is longer than stops may take; else zero.
     [[nodiscard]] Duration stopOverdue(Instant now, const RunId &run) const;
@@ -168,6 +168,7 @@
         int unansweredCalls_ = 0; ///< calls of the start that were given up without an answer
         bool wasAccepted_ = false; ///< a call of the start was answered as accepted
         bool mayHaveFormerCalls_ = false; ///< a former process of the agent may have called its start
+        std::optional<OrderAnswer> stopAnswer_; ///< to the last call of its stop
         bool wasStopRefused_ = false; ///< an answer to its stop said that it wasn't carried out
         std::optional<Instant> callAt_; ///< when it is called, or called again
         std::optional<Instant> unansweredAt_; ///< when a call of the start was last given up without an answer; it may still be carried out
--- a/tests/unit/batch_silent_executor_test.cpp
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(startsForAHangingExecutorAreMadeElsewhere);
     CPPUNIT_TEST(startWaitsForAnAnswerOfAnExecutorThatHasNotJustGivenOne);
     CPPUNIT_TEST(startAfterAFailedPollIsCalledOnceAnotherIsAnswered);
+    CPPUNIT_TEST(sameAnswersToAStopAreLoggedOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,13 +159,7 @@
     void runsOfAHangingExecutorStartElsewhere()
     {
         Cluster cluster(2, 1);
-        cluster.setCapacity(1, {});
-        cluster.run(2s);
-        cluster.submit(makeJob("job", 1, wholeExecutor, 4s));
-        cluster.run(1s);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.allStarts());
-        cluster.setCapacity(1, executorCapacity);
-        cluster.crashExecutor(0, 1h, false, true);
+        loseExecutorWithAJob(cluster, 4s);
         cluster.run(longestDetection + 5s);
         expectNoViolation(cluster);
         CPPUNIT_ASSERT(cluster.state(JobId("job")) == batch::JobState::Completed);
@@ -212,7 +207,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentBench::count<batch::CallStart>(agent.step({agent.answer({})})));
     }
 
+    // Review case 11: a stop every 0.9 s for ever, each with a log line.
+    void sameAnswersToAStopAreLoggedOnce()
+    {
+        OrdersBench agent;
+        (void)agent.answerStart(batch::OrderAnswer::Unknown);
+        (void)agent.orderStop();
+        std::size_t logged = 0;
+        for (int call = 0; call < 10; ++call) {
+            agent.advance(1s);
+            for (const batch::AgentOutput &output : agent.step({batch::StopAnswered{run, batch::OrderAnswer::Unknown, "Read"}})) {
+                const auto *event = std::get_if<batch::LogEvent>(&output);
+                logged += event != nullptr && event->event_ == "stop-answered" ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logged);
+    }
+
 private:
+    /// Runs a job of \p length on host 0, whose executor then falls silent for good.
+    static void loseExecutorWithAJob(Cluster &cluster, batch::milliseconds length)
+    {
+        cluster.setCapacity(1, {});
+        cluster.run(2s);
+        cluster.submit(makeJob("job", 1, wholeExecutor, length));
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cluster.allStarts());
+        cluster.setCapacity(1, executorCapacity);
+        cluster.crashExecutor(0, 1h, false, true);
+    }
+
     [[nodiscard]] static batch::Directive startOrder(AgentBench &agent)
     {
         batch::Directive order = agent.directive();
