--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -53,6 +53,7 @@
     if (!begun_) {
         begun_ = true;
         orders_.begin(now);
+        leases_.reset(now + withSlowClockAllowance(leaseDuration)); // those that a former process has granted
     }
     for (const AgentInput &input : inputs) {
         std::visit([this](const auto &any) { handle(any); }, input);
@@ -147,7 +148,7 @@
 /// it is certain that the former one is gone.
 const Incarnation &AgentCore::polledIncarnation() const
 {
-    const bool pollsFormer = executor_.incarnation_.executor_.empty() && (orders_.mayStartLate(now_) || refusedSince_);
+    const bool pollsFormer = executor_.incarnation_.executor_.empty() && (orders_.mayStartLate(now_) || refusedSince_ || unansweredSince_);
     return pollsFormer ? formerIncarnation_ : executor_.incarnation_;
 }
 
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -218,7 +218,7 @@
     Instant permitEnd_{};
     ExecutorInfo executor_;
     Incarnation formerIncarnation_; ///< the host's last one that the leader knows of, while this process has heard of none
-    bool isFormerAdopted_ = false; ///< executor_ is the former incarnation, of which this process has heard nothing but that it is gone
+    bool isFormerAdopted_ = false; ///< executor_ is the former incarnation, of which this process has heard nothing but that it is gone or silent
     std::int64_t heartbeatSequence_ = 0;
     Instant heartbeatAt_{}; ///< when the executor sent its last heartbeat
     ExecutorTime heartbeatClock_{0}; ///< the executor's clock at heartbeatAt_; 0 if unknown
--- a/src/core/batch/agent_polls.cpp
+++ b/src/core/batch/agent_polls.cpp
@@ -174,17 +174,20 @@
     }
     if (isGone()) {
         assumeNothingRuns("executor-gone");
-    } else if (clockKnown_ && now_ > leases_.end() && !isReplaced()) {
+    } else if ((clockKnown_ || isFormerAdopted_) && now_ > leases_.end() && !isReplaced()) {
         assumeNothingRuns("lease-over");
     }
 }
 
 /// Takes the former incarnation, which the leader has told of, for this process's executor once nobody has listened at its address for long enough, and no
-/// call of a former process can be carried out any more: the report that nothing runs there settles its runs.
+/// call of a former process can be carried out any more, or once it is silent and its leases are over: the report that nothing runs there settles its runs,
+/// except for those that a call of a former process may still start.
 void AgentCore::adoptFormerIfGone()
 {
     const bool isUnknown = executor_.incarnation_.executor_.empty() && !formerIncarnation_.executor_.empty();
-    if (!isUnknown || epoch_ == 0 || !isGone() || !orders_.knowsAllCalls(refusedAt_)) {
+    const bool hasNoCalls = isGone() && orders_.knowsAllCalls(refusedAt_);
+    const bool hasNoLeases = !refusedSince_ && isSilent() && now_ > leases_.end();
+    if (!isUnknown || epoch_ == 0 || (!hasNoCalls && !hasNoLeases)) {
         return;
     }
     executor_.incarnation_ = std::exchange(formerIncarnation_, {});
--- a/tests/unit/batch_silent_executor_test.cpp
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(startWaitsForAnAnswerOfAnExecutorThatHasNotJustGivenOne);
     CPPUNIT_TEST(startAfterAFailedPollIsCalledOnceAnotherIsAnswered);
     CPPUNIT_TEST(sameAnswersToAStopAreLoggedOnce);
+    CPPUNIT_TEST(runsStartElsewhereThoughTheAgentRestartsBesideASilentExecutor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, logged);
     }
 
+    // Review case 11 with an agent that starts again: it waited for a heartbeat of the executor for ever.
+    void runsStartElsewhereThoughTheAgentRestartsBesideASilentExecutor()
+    {
+        for (const bool isConnected : {true, false}) {
+            Cluster cluster(2, 1);
+            loseExecutorWithAJob(cluster, 4s);
+            if (!isConnected) {
+                cluster.disturbCalls(0, CallFault::NotConnected, 1h);
+            }
+            cluster.run(500ms);
+            cluster.restartAgent(0);
+            cluster.run(longestDetection + 5s);
+            expectNoViolation(cluster);
+            CPPUNIT_ASSERT(cluster.state(JobId("job")) == batch::JobState::Completed);
+        }
+    }
+
 private:
     /// Runs a job of \p length on host 0, whose executor then falls silent for good.
     static void loseExecutorWithAJob(Cluster &cluster, batch::milliseconds length)
