--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -48,6 +48,7 @@
     Socket listener_;
     std::atomic<LinkMode> mode_{LinkMode::Pass};
     std::atomic<LinkAddress> addressState_{LinkAddress::Open};
+    std::atomic<int> generation_{0}; ///< connections of an earlier one are silent
     std::mutex holdMutex_;
     Hold lastHold_;
     std::atomic<bool> stopping_{false};
@@ -84,13 +85,18 @@
         return ::send(to.descriptor(), buffer.data(), static_cast<std::size_t>(received), MSG_NOSIGNAL) == received;
     }
 
-    void serve(const Socket &client)
+    /// Carries the data of \p client, which was accepted in \p generation.
+    void serve(const Socket &client, int generation)
     {
         leaf::try_handle_all(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(upstream, connectTcp(target_, connectTimeout));
                 bool open = true;
                 while (open && !stopping_ && addressState_ != LinkAddress::Gone) {
+                    if (generation != generation_) {
+                        std::this_thread::sleep_for(stallPollInterval);
+                        continue;
+                    }
                     std::array<pollfd, 2> pollSet{{{client.descriptor(), POLLIN, 0}, {upstream.descriptor(), POLLIN, 0}}};
                     ::poll(pollSet.data(), pollSet.size(), pollMs);
                     open = (pollSet[0].revents == 0 || forward(client, upstream, false)) && (pollSet[1].revents == 0 || forward(upstream, client, true));
@@ -129,7 +135,9 @@
             }
             Socket client = acceptTcp(state->listener_, acceptWait);
             if (client.valid()) {
-                std::thread([state, shared = std::make_shared<Socket>(std::move(client))] { state->serve(*shared); }).detach();
+                std::thread([state, generation = state->generation_.load(), shared = std::make_shared<Socket>(std::move(client))] {
+                    state->serve(*shared, generation);
+                }).detach();
             }
         }
     }).detach();
@@ -156,6 +164,11 @@
     return state_->lastHold_;
 }
 
+void Proxy::silenceOpenConnections() noexcept
+{
+    ++state_->generation_;
+}
+
 void Proxy::setAddress(LinkAddress address) noexcept
 {
     state_->addressState_ = address;
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -49,6 +49,9 @@
     /// A change takes effect within a tenth of a second.
     void setAddress(LinkAddress address) noexcept;
 
+    /// Connections that are open now stay open and carry nothing any more; new ones work. Takes effect within a tenth of a second.
+    void silenceOpenConnections() noexcept;
+
 private:
     struct State;
     std::shared_ptr<State> state_;
--- a/tests/process/store_client_test.cpp
+++ b/tests/process/store_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "store_client.h"
 
+#include "../../soak/proxy.h"
 #include "../../soak/store_stand_in.h"
 #include "support/expect.h"
 #include "support/stand_ins.h"
@@ -30,6 +31,8 @@
     CPPUNIT_TEST(writeThatTheStoreDoesNotTakeIsToldFromALostReply);
     CPPUNIT_TEST(incompleteRepliesAreErrors);
     CPPUNIT_TEST(rangeEndsWhenPagesRepeat);
+    CPPUNIT_TEST(callAfterAFailedOneUsesANewConnection);
+    CPPUNIT_TEST(watchOnASilentConnectionIsMadeAgainAfterAFailedCall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -197,7 +200,56 @@
         CPPUNIT_ASSERT(error.code_ == StoreErrc::BadReply);
     }
 
+    // Review case 14: after a call on a silent connection the next one got another idle connection, as silent as the first.
+    void callAfterAFailedOneUsesANewConnection()
+    {
+        soak::Proxy link(store_.address());
+        platform::StoreClient client(link.address());
+        openConnections(client);
+        silence(link);
+        CPPUNIT_ASSERT(errorOf<StoreError>([&] { return client.get("k", shortTimeout); }).code_ == StoreErrc::Ambiguous);
+        CPPUNIT_ASSERT(!value(client.get("k", hangTimeout)).has_value());
+    }
+
+    // Review case 14: a watch on a silent connection was noticed only once it had lasted for its whole length.
+    void watchOnASilentConnectionIsMadeAgainAfterAFailedCall()
+    {
+        soak::Proxy link(store_.address());
+        platform::StoreClient client(link.address());
+        const auto from = value(client.range("p/", hangTimeout)).atRevision_;
+        std::atomic<std::size_t> events{0};
+        const std::jthread watcher([&] { events = value(client.watch("p/", from, hangTimeout)).events_.size(); });
+        std::this_thread::sleep_for(settlingTime); // for the watch to begin; if it begins later, it isn't silent
+        openConnections(client);
+        silence(link);
+        store_.put("p/a", "v");
+        (void)errorOf<StoreError>([&] { return client.get("k", shortTimeout); });
+        const auto until = std::chrono::steady_clock::now() + hangTimeout / 2;
+        while (events == 0 && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, events.load());
+    }
+
 private:
+    static constexpr std::chrono::milliseconds shortTimeout{300};
+    static constexpr std::chrono::milliseconds settlingTime{300};
+
+    /// Leaves several idle connections in \p client.
+    static void openConnections(platform::StoreClient &client)
+    {
+        std::vector<std::jthread> calls;
+        for (int call = 0; call < 4; ++call) {
+            calls.emplace_back([&client] { (void)client.watch("none/", 1, settlingTime); });
+        }
+    }
+
+    static void silence(soak::Proxy &link)
+    {
+        link.silenceOpenConnections();
+        std::this_thread::sleep_for(settlingTime);
+    }
+
     /// A store that gives every request the same reply.
     class FixedReplyServer : public LoopbackServer
     {
