--- a/soak/store_stand_in.cpp
+++ b/soak/store_stand_in.cpp
@@ -308,6 +308,14 @@
     return {200, Json::object(), false};
 }
 
+void StoreStandIn::endLeases()
+{
+    const std::lock_guard lock(mutex_);
+    while (!leases_.empty()) {
+        endLeaseLocked(leases_.begin()->first);
+    }
+}
+
 void StoreStandIn::endLeaseLocked(std::int64_t lease)
 {
     leases_.erase(lease);
--- a/soak/store_stand_in.h
+++ b/soak/store_stand_in.h
@@ -49,6 +49,9 @@
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
+    /// Ends all leases, which removes their keys.
+    void endLeases();
+
     /// Returns the values of all keys that begin with \p prefix, whatever faults are injected.
     [[nodiscard]] std::vector<std::string> values(const std::string &prefix) const;
 
--- a/src/node/election.cpp
+++ b/src/node/election.cpp
@@ -6,6 +6,7 @@
 #include "keys.h"
 #include "store_calls.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace bergamotwick::node {
@@ -28,7 +29,7 @@
 }
 
 Election::Election(
-    platform::StoreClient &store, const Membership &membership, std::string address, milliseconds ttl, milliseconds candidacyDelay, Callbacks callbacks)
+    platform::StoreClient &store, Membership &membership, std::string address, milliseconds ttl, milliseconds candidacyDelay, Callbacks callbacks)
     : store_(store)
     , membership_(membership)
     , address_(std::move(address))
@@ -76,15 +77,16 @@
 
 void Election::endFormerTerm(std::int64_t epoch)
 {
-    const bool removed = tryStoreCalls("former-term-not-ended", [&]() -> Result<bool> {
+    const bool gone = tryStoreCalls("former-term-not-ended", [&]() -> Result<bool> {
         platform::Transaction transaction;
         transaction.expected_ = {{keys::leader, epoch}}; // the key is written once per term, so its revision is the epoch
         transaction.removals_ = {keys::leader};
         BOOST_LEAF_AUTO(result, store_.apply(transaction, writeTimeout));
-        return result.applied_;
+        return result.applied_ || std::ranges::any_of(result.current_, [epoch](const platform::Item &item) { return item.revision_ != epoch; });
     });
-    if (removed) {
+    if (gone) {
         logEvent(LogLevel::Info, "former-term-ended", {{"epoch", epoch}});
+        membership_.leaderEnded(epoch);
     }
 }
 
@@ -144,6 +146,7 @@
         replied = renewal != Renewal::NoReply;
         if (renewal == Renewal::Expired) {
             reason = "lease-ended";
+            membership_.leaderEnded(epoch);
             break;
         }
         if (renewal == Renewal::Renewed) {
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -28,7 +28,7 @@
     /// \p address is the address that agents connect to. This entry doesn't campaign until the key has been free for \p candidacyDelay, which
     /// gives precedence to entries on larger hosts.
     Election(platform::StoreClient &store,
-             const Membership &membership,
+             Membership &membership,
              std::string address,
              batch::milliseconds ttl,
              batch::milliseconds candidacyDelay,
@@ -54,14 +54,14 @@
         NoReply,
     };
 
-    /// Removes the key with \p epoch that a former process on this host or a former term of this process has left.
+    /// Removes the key with \p epoch that a former process on this host or a former term of this process has left. Tells the membership if it is gone.
     void endFormerTerm(std::int64_t epoch);
     void campaign();
     [[nodiscard]] Renewal renew(std::int64_t lease);
     void lead(std::int64_t lease, std::int64_t epoch, Instant since);
 
     platform::StoreClient &store_;
-    const Membership &membership_;
+    Membership &membership_;
     std::string address_;
     batch::milliseconds ttl_;
     std::atomic<batch::milliseconds> candidacyDelay_;
--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -84,7 +84,7 @@
             apply(item, next);
         }
         next.revision_ = range.atRevision_;
-        publish(next);
+        update([&next](Members &members) { members = std::move(next); });
         return true;
     });
 }
@@ -92,17 +92,18 @@
 bool Membership::watchOnce()
 {
     return tryStoreCalls("members-watch-failed", [&]() -> Result<bool> {
-        Members next = members();
-        BOOST_LEAF_AUTO(changes, store_.watch(keys::members, next.revision_, watchWait));
+        const std::int64_t revision = members().revision_;
+        BOOST_LEAF_AUTO(changes, store_.watch(keys::members, revision, watchWait));
         if (changes.compacted_) {
-            logEvent(LogLevel::Info, "members-history-lost", {{"revision", next.revision_}});
+            logEvent(LogLevel::Info, "members-history-lost", {{"revision", revision}});
             return false;
         }
-        for (const platform::Item &item : changes.events_) {
-            apply(item, next);
-        }
-        next.revision_ = std::max(next.revision_, changes.atRevision_);
-        publish(next);
+        update([&changes](Members &members) {
+            for (const platform::Item &item : changes.events_) {
+                apply(item, members);
+            }
+            members.revision_ = std::max(members.revision_, changes.atRevision_);
+        });
         return true;
     });
 }
@@ -114,11 +115,26 @@
     return seen == seen_.end() ? Duration(0) : bootNow() - seen->at_;
 }
 
-void Membership::publish(const Members &next)
+void Membership::leaderEnded(std::int64_t epoch)
+{
+    if (members().epoch_ != epoch) {
+        return;
+    }
+    update([epoch](Members &members) {
+        if (members.epoch_ == epoch) {
+            members.leader_.reset();
+            members.epoch_ = 0;
+        }
+    });
+}
+
+void Membership::update(const std::function<void(Members &)> &change)
 {
+    Members next;
     {
         const std::lock_guard lock(mutex_);
-        members_ = next;
+        change(members_);
+        next = members_;
         if (seen_.empty() || next.revision_ > seen_.back().revision_) {
             seen_.push_back({next.revision_, bootNow()});
         }
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -26,11 +26,11 @@
 
 /// Keeps a local copy of the membership keys in the store. The last copy is kept while the store can't be read.
 ///
-/// Thread safety: members() and stop() may be called from any thread; run() belongs to one.
+/// Thread safety: members(), leaderEnded() and stop() may be called from any thread; run() belongs to one.
 class Membership
 {
 public:
-    /// \p changed is called from run()'s thread after each successful read or watch.
+    /// \p changed is called from run()'s thread after each successful read or watch, and by leaderEnded().
     Membership(platform::StoreClient &store, std::function<void(const Members &)> changed);
 
     /// Reads and watches the keys until stop(). One watch waits for up to ten seconds.
@@ -39,6 +39,9 @@
 
     [[nodiscard]] Members members() const;
 
+    /// Records that the leader's key of \p epoch is gone, as another call to the store has shown. Calls changed(), from this thread, if it was known.
+    void leaderEnded(std::int64_t epoch);
+
     /// Returns how long ago the store's revision was first seen at \p revision or a later one; zero if it hasn't been.
     [[nodiscard]] Duration ageOf(std::int64_t revision) const;
 
@@ -58,7 +61,9 @@
 
     [[nodiscard]] bool readAll();
     [[nodiscard]] bool watchOnce();
-    void publish(const Members &next);
+
+    /// Lets \p change modify the local copy, and announces it.
+    void update(const std::function<void(Members &)> &change);
 
     platform::StoreClient &store_;
     std::function<void(const Members &)> changed_;
--- a/tests/process/election_test.cpp
+++ b/tests/process/election_test.cpp
@@ -2,6 +2,7 @@
 
 #include "election.h"
 
+#include "../../soak/proxy.h"
 #include "../../soak/store_stand_in.h"
 #include "support/expect.h"
 
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(restartedEntryRemovesItsStaleLeaderKey);
     CPPUNIT_TEST(entryKeepsLeaderKeyOfAnotherEntry);
     CPPUNIT_TEST(entryLeadsOnlyWithEpochOfReadableReply);
+    CPPUNIT_TEST(leaderWhoseLeaseEndedLeadsAgainThoughItsWatchIsSilent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +123,17 @@
         CPPUNIT_ASSERT(candidate.epoch_ > 0);
     }
 
+    // Review case 14: a leader that the store had told that its lease has ended waited for its watch, which was silent, before it stood again.
+    void leaderWhoseLeaseEndedLeadsAgainThoughItsWatchIsSilent()
+    {
+        waitUntil([this] { return candidate_->renewals_ >= 1; });
+        candidate_->watchLink_.setMode(soak::LinkMode::Stalled);
+        candidate_->store_.endLeases();
+        waitUntil([this] { return candidate_->wins_ >= 2; });
+        CPPUNIT_ASSERT_EQUAL(1, candidate_->losses_.load());
+        candidate_->watchLink_.setMode(soak::LinkMode::Pass);
+    }
+
 private:
     /// Leases end only when they are revoked, however slow the machine is.
     static soak::StoreFaults pausedLeases()
@@ -165,11 +178,13 @@
 
         soak::StoreStandIn store_{2};
         platform::StoreClient client_{store_.address()};
+        soak::Proxy watchLink_{store_.address()};
+        platform::StoreClient watchClient_{watchLink_.address()};
         std::atomic<int> wins_{0};
         std::atomic<int> renewals_{0};
         std::atomic<int> losses_{0};
         std::atomic<std::int64_t> epoch_{0};
-        node::Membership members_{client_, [this](const node::Members &) { election_.wake(); }};
+        node::Membership members_{watchClient_, [this](const node::Members &) { election_.wake(); }};
         node::Election election_;
         std::thread electionThread_;
         std::thread membershipThread_;
