--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -14,6 +14,7 @@
 #include "store_client.h"
 
 #include <condition_variable>
+#include <functional>
 #include <thread>
 
 namespace bergamotwick::node {
@@ -34,6 +35,11 @@
 /// Number of concurrent calls to the executor. A call without an answer must not delay the others.
 constexpr int executorCallThreads = 2;
 
+/// Time without a directive after which the connection to the store may be silent, so that this agent doesn't hear of the leader. The agents of a fleet add up
+/// to maxSearchSpread each, so that they don't call the store at the same moment.
+constexpr milliseconds maxTimeWithoutLeader{2'000};
+constexpr milliseconds maxSearchSpread{2'000};
+
 /// Timeouts of the connection to the leader, which answers each report.
 constexpr SocketTimeouts connectionTimeouts{2s, 200ms, 2s};
 
@@ -155,7 +161,7 @@
     /// Reads the executor's running and ended runs and extends its leases, in a loop of long polls.
     void pollExecutor()
     {
-        platform::ExecutorClient client(settings_.executorAddress_);
+        platform::ExecutorClient client(settings_.executorAddress_, executorConnections_);
         for (;;) {
             const Instant sentAt = bootNow();
             batch::PollCall call;
@@ -226,7 +232,7 @@
 
     void callExecutor()
     {
-        platform::ExecutorClient client(settings_.executorAddress_);
+        platform::ExecutorClient client(settings_.executorAddress_, executorConnections_);
         for (;;) {
             const auto call = calls_.takeOne();
             const Instant startedAt = bootNow();
@@ -257,7 +263,12 @@
     void followLeader()
     {
         std::size_t attempt = 0;
+        const milliseconds searchInterval = maxTimeWithoutLeader + milliseconds(std::hash<std::string>()(settings_.nodeName_) % maxSearchSpread.count());
         for (;;) {
+            if (bootNow() - leaderHeardAt_ > searchInterval) {
+                store_.suspectOpenConnections();
+                leaderHeardAt_ = bootNow();
+            }
             if (const auto address = nextLeaderAddress(attempt++)) {
                 leaf::try_handle_all([&]() -> Result<void> { return runLeaderConnection(*address); },
                                      [&](const SocketError &error) {
@@ -319,6 +330,7 @@
                         redirectAddress_ = Address::parse(directive.leaderAddress_);
                         return {};
                     }
+                    leaderHeardAt_ = bootNow();
                     inputs_.put(std::move(directive));
                     return {};
                 },
@@ -338,6 +350,7 @@
     platform::StoreClient store_;
     std::mutex coreMutex_;
     batch::AgentCore core_;
+    platform::ConnectionSuspicion executorConnections_;
     platform::ControlServer control_;
     Mailbox<batch::AgentInput> inputs_;
     Mailbox<std::variant<batch::CallStart, batch::CallStop, batch::PollCall>> calls_;
@@ -346,6 +359,7 @@
     Address leaderAddress_;
     std::condition_variable leaderCondition_;
     bool leaderChanged_ = false; ///< the store names a leader that this agent hasn't connected to yet
+    Instant leaderHeardAt_ = bootNow(); ///< when a directive last arrived, or the leader was last looked for; used only by followLeader()'s thread
     std::optional<Address> redirectAddress_; ///< the leader named by an entry; used only by followLeader()'s thread
     Membership membership_;
 };
--- a/tests/process/executor_client_test.cpp
+++ b/tests/process/executor_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "executor_client.h"
 
+#include "../../soak/proxy.h"
 #include "net/socket.h"
 #include "support/expect.h"
 #include "support/stand_ins.h"
@@ -9,6 +10,7 @@
 #include <httplib.h>
 
 #include <array>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -67,7 +69,8 @@
 Result<platform::PollResponse> poll(const std::string &body)
 {
     const FixedReplyExecutor executor(body);
-    platform::ExecutorClient client("127.0.0.1:" + std::to_string(executor.port()));
+    platform::ConnectionSuspicion connections;
+    platform::ExecutorClient client("127.0.0.1:" + std::to_string(executor.port()), connections);
     return client.poll({}, 1, 0, std::nullopt, hangTimeout);
 }
 
@@ -80,6 +83,7 @@
     CPPUNIT_TEST(numbersOutOfRangeAreBadReplies);
     CPPUNIT_TEST(callWithoutAConnectionWasNotSent);
     CPPUNIT_TEST(rejectedPollIsToldFromALostReply);
+    CPPUNIT_TEST(callAfterAnotherWithoutAReplyUsesANewConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,7 +110,8 @@
     void callWithoutAConnectionWasNotSent()
     {
         const UnansweringAddress executor;
-        platform::ExecutorClient client(executor.address());
+        platform::ConnectionSuspicion connections;
+        platform::ExecutorClient client(executor.address(), connections);
         const auto start = client.start({}, {}, batch::ExecutorTime(1'000), 1);
         CPPUNIT_ASSERT(start.answer_ == batch::OrderAnswer::Refused && !start.wasSent_ && !start.connectionRefused_);
         CPPUNIT_ASSERT(client.stop({}, {}, 1).answer_ == batch::OrderAnswer::Refused);
@@ -118,11 +123,29 @@
     {
         for (const int status : {421, 429, 503}) {
             const FixedReplyExecutor executor("{}", status);
-            platform::ExecutorClient client("127.0.0.1:" + std::to_string(executor.port()));
+            platform::ConnectionSuspicion connections;
+            platform::ExecutorClient client("127.0.0.1:" + std::to_string(executor.port()), connections);
             const auto error = errorOf<platform::PollError>([&] { return client.poll({}, 1, 0, std::nullopt, hangTimeout); });
             CPPUNIT_ASSERT(error.code_ == platform::PollErrc::Rejected);
         }
     }
+
+    // Open connections go silent: each of an agent's clients lost a call to find it out for itself.
+    void callAfterAnotherWithoutAReplyUsesANewConnection()
+    {
+        const FixedReplyExecutor executor(R"({"clock_ms":9,"running":[],"ended_runs":[]})");
+        soak::Proxy link("127.0.0.1:" + std::to_string(executor.port()));
+        platform::ConnectionSuspicion connections;
+        platform::ExecutorClient first(link.address(), connections);
+        platform::ExecutorClient second(link.address(), connections);
+        const auto pollWith = [](platform::ExecutorClient &client) { return client.poll({}, 1, 0, std::nullopt, batch::milliseconds(0)); };
+        (void)value(pollWith(first));
+        (void)value(pollWith(second));
+        link.silenceOpenConnections();
+        std::this_thread::sleep_for(std::chrono::milliseconds(200)); // until the connections are silent
+        CPPUNIT_ASSERT(errorOf<platform::PollError>([&] { return pollWith(first); }).code_ == platform::PollErrc::NoReply);
+        (void)value(second.poll({}, 1, 0, std::nullopt, hangTimeout));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ExecutorClientTest);
