Soak: silent connections, executors that hang past their leases, one that is lost for good

The soak stalled a whole link for a while, and had neither open connections that go silent while new ones work, nor an executor that stays silent.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -99,6 +99,10 @@
                                 &FaultInjector::crashExecutor,
                                 &FaultInjector::crashWithLateOrders,
                                 &FaultInjector::freezeExecutor,
+                                &FaultInjector::hangExecutor,
+                                &FaultInjector::loseExecutor,
+                                &FaultInjector::silenceConnections,
+                                &FaultInjector::silenceConnections,
                                 &FaultInjector::removeExecutor,
                                 &FaultInjector::killLeaderAfterCommit,
                                 &FaultInjector::restartAllEntries};
@@ -348,6 +352,60 @@
     fleet_.executors_[number].freeze(duration);
 }
 
+/// Lets an executor go on after its runs may have been started elsewhere.
+void FaultInjector::hangExecutor()
+{
+    if (mixed_) {
+        return;
+    }
+    const std::size_t number = random_() % fleet_.executors_.size();
+    const milliseconds duration = randomDuration(7'000, 25'000);
+    logFault("hang", "executor " + std::to_string(number) + " for " + std::to_string(duration.count()) + " ms");
+    fleet_.executors_[number].freeze(duration);
+}
+
+/// Lets one executor at most fall silent for good: the others have to finish its work.
+void FaultInjector::loseExecutor()
+{
+    if (mixed_ || isExecutorLost_) {
+        return;
+    }
+    isExecutorLost_ = true;
+    const std::size_t number = random_() % fleet_.executors_.size();
+    logFault("lose for good", "executor " + std::to_string(number));
+    fleet_.executors_[number].freeze(std::chrono::hours(1));
+}
+
+/// Lets the open connections of all processes or of one go silent for good, to the store or to executors, once or twice.
+void FaultInjector::silenceConnections()
+{
+    if (mixed_) {
+        return;
+    }
+    const auto kind = random_() % 4;
+    Node &one = pickNode();
+    const auto silence = [this, kind, &one] {
+        constexpr std::array targets{"of all processes to the store", "of all processes", "of all agents to executors", "to the store of "};
+        logFault("silence open connections", targets[kind] + (kind == 3 ? one.name() : std::string()));
+        for (std::deque<Node> *nodes : {&fleet_.agents_, &fleet_.entries_}) {
+            for (Node &node : *nodes) {
+                if (kind < 2 || (kind == 3 && &node == &one)) {
+                    node.storeLink().silenceOpenConnections();
+                }
+            }
+        }
+        for (ExecutorServer &executor : fleet_.executors_) {
+            if (kind == 1 || kind == 2) {
+                executor.link().silenceOpenConnections();
+            }
+        }
+    };
+    silence();
+    if (oneIn(2)) {
+        scheduleRecovery(randomDuration(300, 4'000), silence);
+    }
+}
+
 void FaultInjector::removeExecutor()
 {
     const std::size_t number = random_() % fleet_.executors_.size();
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -63,6 +63,9 @@
     void crashWithLateOrders();
     void startSmaller(std::size_t executor, milliseconds absence);
     void freezeExecutor();
+    void hangExecutor();
+    void loseExecutor();
+    void silenceConnections();
     void removeExecutor();
 
     Fleet &fleet_;
@@ -70,8 +73,9 @@
     std::mt19937_64 random_;
     Instant startedAt_;
     /// Both releases run side by side. Meanwhile, faults are left out that the former release alone doesn't stand: refused connections,
-    /// calls to leave that aren't the end, and next incarnations of the same name with late orders or less capacity.
+    /// calls to leave that aren't the end, executors that are silent for longer than their leases, silent connections, and next incarnations of the same name with late orders or less capacity.
     bool mixed_ = false;
+    bool isExecutorLost_ = false; ///< one has fallen silent for good
     std::map<std::size_t, Instant> shrunkUntil_; ///< by the number of the executor
     std::multimap<Instant, std::function<void()>> recoveries_;
 };
