--- a/soak/faults.h
+++ b/soak/faults.h
@@ -73,7 +73,8 @@
     std::mt19937_64 random_;
     Instant startedAt_;
     /// Both releases run side by side. Meanwhile, faults are left out that the former release alone doesn't stand: refused connections,
-    /// calls to leave that aren't the end, executors that are silent for longer than their leases, silent connections, and next incarnations of the same name with late orders or less capacity.
+    /// calls to leave that aren't the end, executors that are silent for longer than their leases, silent connections, and next incarnations of the same name
+    /// with late orders or less capacity.
     bool mixed_ = false;
     bool isExecutorLost_ = false; ///< one has fallen silent for good
     std::map<std::size_t, Instant> shrunkUntil_; ///< by the number of the executor
--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -277,7 +277,8 @@
     }
     const bool drains = executor_.draining_ || executor_.hasLeft_;
     if (!drains && knowsCapacity()) {
-        return orders_.start(now_, start, hasJustAnswered() || refusedSince_ || isSilent()); // if it is away, the start is given up at once
+        const bool isAway = refusedSince_ || isSilent(); // the start is given up at once
+        return orders_.start(now_, start, hasJustAnswered() || isAway);
     }
     if (orders_.refuse(now_, start.run_)) {
         reportDue_ = true;
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -115,7 +115,7 @@
     });
 }
 
-bool Orders::start(Instant now, const StartOrder &start, bool hasJustAnswered)
+bool Orders::start(Instant now, const StartOrder &start, bool mayBeCalledAtOnce)
 {
     const auto [found, isNew] = orders_.try_emplace(start.run_);
     Order &order = found->second;
@@ -124,7 +124,7 @@
         order.start_ = start;
         order.mayHaveFormerCalls_ = !knowsAllCalls(now);
         order.phaseSince_ = now;
-        order.awaitsAnswer_ = start.run_.run_ > 1 || !hasJustAnswered;
+        order.awaitsAnswer_ = start.run_.run_ > 1 || !mayBeCalledAtOnce;
         if (!order.awaitsAnswer_) {
             order.callAt_ = now;
         }
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -44,10 +44,10 @@
     void executorReplaced(Instant now, bool sameName, Instant knownAt);
 
     /// Adds the order to start \p start. It is called once the executor has answered a poll that was sent after the order: a call that isn't answered
-    /// keeps its run waiting, so that none is made to an executor that hangs. A task's first start is called at once if the executor \p hasJustAnswered.
+    /// keeps its run waiting, so that none is made to an executor that hangs. A task's first start is called at once if it \p mayBeCalledAtOnce.
     /// After a later one, if the executor crashes without an answer, the task is the likely cause. If there is an order for its run, records only that the
     /// leader still wants it. Returns whether such a poll is needed.
-    bool start(Instant now, const StartOrder &start, bool hasJustAnswered);
+    bool start(Instant now, const StartOrder &start, bool mayBeCalledAtOnce);
 
     /// Refuses the starts for which the executor has answered no poll in time, or stops them if a former process may have called them. Returns their runs.
     std::vector<RunId> giveUpUnanswered(Instant now);
--- a/src/node/agent_host.cpp
+++ b/src/node/agent_host.cpp
@@ -219,12 +219,8 @@
             },
             [&](const platform::PollError &error) {
                 const bool refused = error.code_ == platform::PollErrc::ConnectionRefused;
-                inputs_.put(batch::PollFailed{refused,
-                                              error.code_ == platform::PollErrc::Fenced,
-                                              call.fencingToken_,
-                                              call.acknowledged_,
-                                              toCallFailure(error.code_),
-                                              call.extension_});
+                inputs_.put(batch::PollFailed{
+                    refused, error.code_ == platform::PollErrc::Fenced, call.fencingToken_, call.acknowledged_, toCallFailure(error.code_), call.extension_});
                 return refused ? PollResult::ConnectionRefused : PollResult::Failed;
             },
             [] { return PollResult::Failed; });
