A stop on an executor that was never heard of settles no run that a former process may have started

Change: such orders stay open until no call of a former process can be carried out any more and what it may have started is over, or lists show the run.

--- a/src/core/batch/agent_polls.cpp
+++ b/src/core/batch/agent_polls.cpp
@@ -209,7 +209,7 @@
     listedAt_ = now_.time_since_epoch();
     running_.clear();
     ended_.clear();
-    orders_.executorEnded(now_, emptyAt());
+    orders_.executorEnded(now_, emptyAt(), !isFormerAdopted_);
     reportDue_ = true;
 }
 
--- a/src/core/batch/orders.cpp
+++ b/src/core/batch/orders.cpp
@@ -377,13 +377,20 @@
     return changed;
 }
 
-void Orders::executorEnded(Instant now, Instant emptyAt)
+/// Returns whether a call of the start, by this process or a former one, could be carried out after \p emptyAt.
+bool Orders::mayStartAfter(const Order &order, Instant emptyAt) const
+{
+    return mayStartLate(order, emptyAt) || (order.isOfUnknownExecutor_ && !knowsAllCalls(emptyAt));
+}
+
+void Orders::executorEnded(Instant now, Instant emptyAt, bool isHeardOf)
 {
     for (auto &[run, order] : orders_) {
+        order.isOfUnknownExecutor_ = order.isOfUnknownExecutor_ || !isHeardOf;
         if (isUncalled(order)) {
             enter(order, Phase::Refused, now);
         } else if (order.phase_ != Phase::Refused) {
-            enter(order, mayStartLate(order, emptyAt) ? Phase::Lost : Phase::Ended, now);
+            enter(order, mayStartAfter(order, emptyAt) ? Phase::Lost : Phase::Ended, now);
         }
     }
 }
@@ -392,7 +399,7 @@
 {
     bool changed = false;
     for (auto &[run, order] : orders_) {
-        if (order.phase_ == Phase::Lost && !mayStartLate(order, emptyAt)) {
+        if (order.phase_ == Phase::Lost && !mayStartAfter(order, emptyAt)) {
             enter(order, Phase::Ended, now);
             changed = true;
         }
--- a/src/core/batch/orders.h
+++ b/src/core/batch/orders.h
@@ -108,8 +108,8 @@
     [[nodiscard]] bool applyLists(Instant now, const ListedRuns &lists);
 
     /// Records that the incarnation which was called runs nothing any longer. A start of which a call could be carried out after \p emptyAt, when nothing
-    /// ran on any incarnation, stays open.
-    void executorEnded(Instant now, Instant emptyAt);
+    /// ran on any incarnation, stays open; so does any that a former process may have called, if this one has never heard of the incarnation.
+    void executorEnded(Instant now, Instant emptyAt, bool isHeardOf);
 
     /// Settles the starts on an executor that has ended if none of their calls could be carried out after \p emptyAt, when nothing ran on it. Returns
     /// whether outcomes have changed.
@@ -167,6 +167,7 @@
         int callsInProgress_ = 0; ///< calls of the start that haven't been answered or given up
         int unansweredCalls_ = 0; ///< calls of the start that were given up without an answer
         bool wasAccepted_ = false; ///< a call of the start was answered as accepted
+        bool isOfUnknownExecutor_ = false; ///< its executor ended without having been heard of: what a former process has called is unknown
         bool mayHaveFormerCalls_ = false; ///< a former process of the agent may have called its start
         std::optional<OrderAnswer> stopAnswer_; ///< to the last call of its stop
         bool wasStopRefused_ = false; ///< an answer to its stop said that it wasn't carried out
@@ -188,6 +189,7 @@
     [[nodiscard]] static bool isUnanswered(const Order &order, Instant now);
     [[nodiscard]] static int callsNotCarriedOut(const Order &order) noexcept;
     [[nodiscard]] static bool mayStartLate(const Order &order, Instant now);
+    [[nodiscard]] bool mayStartAfter(const Order &order, Instant emptyAt) const;
     [[nodiscard]] bool hasEndedUnstopped(const RunId &run, const Order &order, const ListedRuns &lists) const;
     [[nodiscard]] static std::set<RunId> endedRuns(const Report &report);
     void stopUnwantedStarts(Instant now);
