--- a/tests/fuzz/reply_decoders.cpp
+++ b/tests/fuzz/reply_decoders.cpp
@@ -92,7 +92,8 @@
 void readExecutorReplies(const std::string &input)
 {
     server().setReply(input);
-    static platform::ExecutorClient client(server().address());
+    static platform::ConnectionSuspicion connections;
+    static platform::ExecutorClient client(server().address(), connections);
     expectOnly<platform::PollError>([] { return client.poll({}, 1, 0, std::nullopt, std::chrono::milliseconds(0)); });
     (void)client.stop({}, {}, 1);
 }
