Runs on an executor that falls silent before its first answer are given out again

An executor starts again under its id, sends a heartbeat, or only answers one poll, and then falls silent for good.

Cause: the agent takes the leases of a silent executor for over only if it has read that executor's clock (clockKnown_), and not while the executor that answered last is another one than the last heartbeat told of (isReplaced()). Neither ever becomes true once the executor is silent.

Change: neither is needed for the conclusion. An agent that doesn't know the clock grants no lease, and the end of all leases is bounded from the moment when the new incarnation is first heard of: a late call (12 s) and the longest lease (10.2 s). That bound is now also set when an answer is the first that is heard of it.

Tests, failing before: executorThatFallsSilentBeforeItsFirstAnswerKeepsNoRuns, executorThatFallsSilentBeforeItsFirstHeartbeatKeepsNoRuns; the other side, newExecutorKeepsItsRunsWhileALateCallMayExtendTheirLeases, fails without the new bound.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -134,7 +134,7 @@
         return refusedAt_;
     }
     // A call that was given up may have started a run, or extended its lease, on a next incarnation that isn't known.
-    return now_ > leases_.end() + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_) ? now_ : Instant();
+    return now_ > leases_.end() + longestLeaseOfNewIncarnation() ? now_ : Instant();
 }
 
 /// Returns up to when it is known what ran on the executor.
@@ -423,9 +423,8 @@
         ended_.clear();
         orders_.executorReplaced(now_, sameName, knownAt());
         rebornAt_ = sameName ? std::optional(now_) : std::nullopt;
-        // Until it has seen its fencing token, it carries out calls to a former incarnation, whose clock was ahead: the lease is then the longest.
         if (fencedStartTimeMs_ != incarnation.startTimeMs_) {
-            leases_.reset(now_ + maxCallDelay + withSlowClockAllowance(maxLeaseDuration_));
+            leases_.reset(now_ + longestLeaseOfNewIncarnation());
         }
     }
     if (heartbeat.executor_.capacity_ != executor_.capacity_) {
--- a/src/core/batch/agent.h
+++ b/src/core/batch/agent.h
@@ -186,6 +186,7 @@
     void noteSilence(const PollFailed &failure);
     [[nodiscard]] Instant sentAt(const HeartbeatReceived &heartbeat) const;
     [[nodiscard]] std::int64_t startTimeOf(const PollAnswered &answer);
+    [[nodiscard]] Duration longestLeaseOfNewIncarnation() const;
     void noteReplacement(std::int64_t startTimeMs);
     void noteFenced(std::int64_t startTimeMs);
     void adoptFormerIfGone();
--- a/src/core/batch/agent_polls.cpp
+++ b/src/core/batch/agent_polls.cpp
@@ -130,6 +130,13 @@
     leases_.reset(now_ + withSlowClockAllowance(maxLeaseDuration_));
 }
 
+/// Returns how long a new incarnation may keep runs without being granted a lease: until it has seen its fencing token it carries out calls to a former one,
+/// whose clock was ahead, so that their lease is the longest.
+Duration AgentCore::longestLeaseOfNewIncarnation() const
+{
+    return maxCallDelay + withSlowClockAllowance(maxLeaseDuration_);
+}
+
 void AgentCore::noteReplacement(std::int64_t startTimeMs)
 {
     if (startTimeMs <= presentStartTimeMs()) {
@@ -140,6 +147,7 @@
          {"born", std::to_string(startTimeMs)},
          {"late_starts", std::to_string(orders_.lateStarts(now_))}});
     answeringStartTimeMs_ = startTimeMs;
+    leases_.reset(now_ + longestLeaseOfNewIncarnation());
     reportDue_ = true;
     pollNow(); // its first fencing token, so that calls to the former incarnation aren't carried out
 }
@@ -174,7 +182,7 @@
     }
     if (isGone()) {
         assumeNothingRuns("executor-gone");
-    } else if ((clockKnown_ || isFormerAdopted_) && now_ > leases_.end() && !isReplaced()) {
+    } else if (now_ > leases_.end()) {
         assumeNothingRuns("lease-over");
     }
 }
--- a/tests/unit/batch_silent_executor_test.cpp
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -14,6 +14,9 @@
 /// Longest time from an executor's last sign of life until its runs are known to have ended: until it counts as silent, its leases and two polls.
 constexpr auto longestDetection = 12s;
 
+/// Longest time for which an executor that has started again under its id may keep a run that a late call to the former one started.
+constexpr auto longestLeaseOfNewExecutor = longestCallDelay + 10'200ms;
+
 /// An agent whose executor has listed run and then answers no poll.
 class SilentExecutor : public OrdersBench
 {
@@ -54,6 +57,14 @@
         (void)step({directive()});
     }
 
+    /// Lets an executor that has started again under the same id answer a poll.
+    void answerPollAsNewExecutor()
+    {
+        batch::PollAnswered answered = answer({});
+        answered.startTimeMs_ = 9'000;
+        (void)step({answered});
+    }
+
     [[nodiscard]] bool reportsNothingRunning()
     {
         const batch::Report last = report();
@@ -81,6 +92,9 @@
     CPPUNIT_TEST(startAfterAFailedPollIsCalledOnceAnotherIsAnswered);
     CPPUNIT_TEST(sameAnswersToAStopAreLoggedOnce);
     CPPUNIT_TEST(runsStartElsewhereThoughTheAgentRestartsBesideASilentExecutor);
+    CPPUNIT_TEST(executorThatFallsSilentBeforeItsFirstAnswerKeepsNoRuns);
+    CPPUNIT_TEST(executorThatFallsSilentBeforeItsFirstHeartbeatKeepsNoRuns);
+    CPPUNIT_TEST(newExecutorKeepsItsRunsWhileALateCallMayExtendTheirLeases);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -242,6 +256,36 @@
         }
     }
 
+    // Soak seed 9010: the agent had never read the clock of an executor that started again under its id, and kept its runs for ever.
+    void executorThatFallsSilentBeforeItsFirstAnswerKeepsNoRuns()
+    {
+        SilentExecutor agent;
+        agent.sendHeartbeat("x", 9'000);
+        agent.failPolls(CallFailure::Unanswered, longestLeaseOfNewExecutor + 2 * pollInterval);
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    // As above, where an answer to a poll was the only sign of the new executor.
+    void executorThatFallsSilentBeforeItsFirstHeartbeatKeepsNoRuns()
+    {
+        SilentExecutor agent;
+        agent.answerPollAsNewExecutor();
+        agent.failPolls(CallFailure::Unanswered, longestLeaseOfNewExecutor + 2 * pollInterval);
+        CPPUNIT_ASSERT(agent.reportsNothingRunning());
+    }
+
+    void newExecutorKeepsItsRunsWhileALateCallMayExtendTheirLeases()
+    {
+        SilentExecutor announced;
+        announced.sendHeartbeat("x", 9'000);
+        announced.failPolls(CallFailure::Unanswered, longestLeaseOfNewExecutor - 2 * pollInterval);
+        CPPUNIT_ASSERT(!announced.reportsNothingRunning());
+        SilentExecutor answering;
+        answering.answerPollAsNewExecutor();
+        answering.failPolls(CallFailure::Unanswered, longestLeaseOfNewExecutor - 2 * pollInterval);
+        CPPUNIT_ASSERT(!answering.reportsNothingRunning());
+    }
+
 private:
     /// Runs a job of \p length on host 0, whose executor then falls silent for good.
     static void loseExecutorWithAJob(Cluster &cluster, batch::milliseconds length)
