A leave that arrives after a silent crash doesn't hide it

Cause: an announced leave is taken for the end of an executor also where it was held up and arrives after a crash. The agent ignored it only while connections were refused; a crash that leaves connections silent was missed, 0.9 to 4.7 s before the leave in the trace. The loss then counts as an announced one, and blames no task.

Change: a leave of an executor that hasn't said that it drains is ignored as well if there was no answer and no heartbeat for longer than a poll may take. It is only looked at for executors that never said they drain.

Tests: leaveThatArrivesAfterASilentCrashDoesNotHideIt failed before; leaveOfADrainingExecutorIsNotIgnoredAfterASilence holds the other side.

--- a/src/core/batch/agent.cpp
+++ b/src/core/batch/agent.cpp
@@ -30,6 +30,9 @@
 /// As above, while no listed end may be acknowledged because the runs' starts may be carried out late.
 constexpr milliseconds pollDelayWhileEndsAreHeld{200};
 
+/// A leave that arrives after a longer time without a sign of life was held up, and the executor has crashed in the meantime.
+constexpr milliseconds maxSilenceBeforeLeave = pollWait + milliseconds(300);
+
 /// While a next incarnation may carry out a start that was meant for this one, time without an answer after which a new incarnation is polled once more: the
 /// poll may have been held up.
 constexpr milliseconds fencingPollDelay{100};
@@ -466,9 +469,10 @@
     const Incarnation &present = executor_.incarnation_;
     const bool tellsStart = left.startTimeMs_ != 0;
     const bool isOther = left.executor_ != present.executor_ || (tellsStart && startTimes_.corrected(left.startTimeMs_) != present.startTimeMs_);
-    // An executor reports that it drains before it leaves.
+    // An executor reports that it drains before it leaves, and announces its leave while its process still runs.
     const bool mayBeFormer = !tellsStart && !executor_.draining_ && rebornAt_ && now_ - *rebornAt_ < maxCallDelay;
-    if (isOther || mayBeFormer || refusedSince_) { // an executor announces its leave while its process still runs
+    const bool hasCrashed = refusedSince_ || (!executor_.draining_ && now_ - std::max(answeredAt_, heartbeatAt_) > maxSilenceBeforeLeave);
+    if (isOther || mayBeFormer || hasCrashed) {
         log("leave-ignored", {{"executor", left.executor_.str()}, {"born", std::to_string(left.startTimeMs_)}});
         return;
     }
--- a/tests/unit/batch_orders_test.cpp
+++ b/tests/unit/batch_orders_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(leaveOfAFormerIncarnationIsIgnored);
     CPPUNIT_TEST(executorThatIsReadyHasNotLeft);
     CPPUNIT_TEST(leaveThatArrivesAfterTheEndDoesNotHideACrash);
+    CPPUNIT_TEST(leaveThatArrivesAfterASilentCrashDoesNotHideIt);
+    CPPUNIT_TEST(leaveOfADrainingExecutorIsNotIgnoredAfterASilence);
     CPPUNIT_TEST(leaveThatArrivesAfterARebirthDoesNotHideACrash);
     CPPUNIT_TEST(incompleteListOfEndsDoesNotConfirmAStop);
     CPPUNIT_TEST(olderListsDoNotHideAStartedRun);
@@ -359,6 +361,26 @@
         CPPUNIT_ASSERT(!bench.report().executor_.hasLeft_);
     }
 
+    // BUDGET on random day 50037: a crash by a task, with connections that are silent and not refused, counted as an announced end.
+    void leaveThatArrivesAfterASilentCrashDoesNotHideIt()
+    {
+        OrdersBench bench;
+        bench.advance(900ms);
+        (void)bench.step({batch::ExecutorLeft{ExecutorId("x"), 0}});
+        CPPUNIT_ASSERT(!bench.report().executor_.hasLeft_);
+    }
+
+    void leaveOfADrainingExecutorIsNotIgnoredAfterASilence()
+    {
+        OrdersBench bench;
+        batch::HeartbeatReceived draining = bench.heartbeat("x", 5'000);
+        draining.executor_.draining_ = true;
+        (void)bench.step({draining});
+        bench.advance(900ms);
+        (void)bench.step({batch::ExecutorLeft{ExecutorId("x"), 0}});
+        CPPUNIT_ASSERT(bench.report().executor_.hasLeft_);
+    }
+
     void leaveThatArrivesAfterARebirthDoesNotHideACrash()
     {
         OrdersBench bench;
