A host is classified as slow or not by its present executor alone

Cause: refreshSpeeds goes over executors and sets the flag of the host once for each. A host with two records (a former executor beside the new one, or one that is known from the store alone, without a service and so without a tightest queue) gets two answers at each refresh.

Change: the newest executor of a host that has told its service decides; a host without one keeps its flag. Ruled out: to drop records without a service; runs wait on them.

Test: hostWithTwoExecutorRecordsIsClassifiedOnce, failing before (10 host-slow lines in place of 9).

--- a/src/core/batch/host_speeds.cpp
+++ b/src/core/batch/host_speeds.cpp
@@ -41,6 +41,24 @@
     return PaceSample{std::log(pace), taskDeviation * taskDeviation + rounding * rounding};
 }
 
+/// Returns the present executor of each host: the newest one that has told its service. A host may have records of former ones as well, also of some that
+/// are known from the store alone.
+std::map<std::string, const Executor *> presentExecutors(const ClusterState &cluster)
+{
+    std::map<std::string, const Executor *> present;
+    for (const auto &[id, executor] : cluster.executors_) {
+        if (executor.info_.service_ == ServiceId()) {
+            continue;
+        }
+        const Incarnation &incarnation = executor.info_.incarnation_;
+        const auto [found, isNew] = present.try_emplace(incarnation.host_, &executor);
+        if (!isNew && incarnation.startTimeMs_ > found->second->info_.incarnation_.startTimeMs_) {
+            found->second = &executor;
+        }
+    }
+    return present;
+}
+
 /// Returns how many of samplePercents \p run has reached.
 std::uint32_t samplesDue(const Run &run)
 {
@@ -73,11 +91,11 @@
         return;
     }
     std::map<ServiceId, double> slowRatios;
-    for (const auto &[id, executor] : cluster.executors_) {
-        const std::string &host = executor.info_.incarnation_.host_;
-        const auto [ratio, isNew] = slowRatios.try_emplace(executor.info_.service_);
+    for (const auto &[host, executor] : presentExecutors(cluster)) {
+        const ServiceId &service = executor->info_.service_;
+        const auto [ratio, isNew] = slowRatios.try_emplace(service);
         if (isNew) {
-            ratio->second = slowRatioOf(cluster, executor.info_.service_);
+            ratio->second = slowRatioOf(cluster, service);
         }
         const bool isSlow = cluster.hosts_.isSlowerThan(host, ratio->second);
         if (isSlow == cluster.slowHosts_.contains(host)) {
--- a/tests/unit/batch_host_choice_test.cpp
+++ b/tests/unit/batch_host_choice_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(unreadableProfileIsLeftAlone);
     CPPUNIT_TEST(nothingIsStoredBeforeTheProfileIsRead);
     CPPUNIT_TEST(executorsRestartKeepsItsHostsProfile);
+    CPPUNIT_TEST(hostWithTwoExecutorRecordsIsClassifiedOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -293,6 +294,28 @@
         CPPUNIT_ASSERT(*used.rbegin() < firstSlow);
     }
 
+    // Logs of a day with a loss of power: hosts flipped between slow and recovered at each refresh, as both records of a host were looked at.
+    void hostWithTwoExecutorRecordsIsClassifiedOnce()
+    {
+        UnevenFleet fleet;
+        fleet.learn();
+        fleet.bench_.submit(bulkWithTime("bulk", executors));
+        fleet.run(1s, 60s);
+        batch::Report &report = fleet.bench_.report(firstSlow);
+        report.executor_.incarnation_ = {ExecutorId("a-restarted"), 2, report.agent_};
+        report.running_.clear();
+        fleet.bench_.replaceLeaderWithRecords(1s); // it knows the former executor from the store alone, without a service
+        fleet.run(1s, 60s);
+        CPPUNIT_ASSERT_EQUAL(executors + 1, fleet.bench_.cluster().executors_.size());
+        const std::size_t slow = fleet.bench_.logged("host-slow").size();
+        const std::size_t recovered = fleet.bench_.logged("host-recovered").size();
+        fleet.bench_.setStretch(0, 2.6); // hosts are classified again
+        fleet.run(1s, 60s);
+        CPPUNIT_ASSERT_EQUAL(slow, fleet.bench_.logged("host-slow").size());
+        CPPUNIT_ASSERT_EQUAL(recovered, fleet.bench_.logged("host-recovered").size());
+        CPPUNIT_ASSERT_EQUAL(slowExecutors, fleet.bench_.cluster().slowHosts_.size());
+    }
+
 private:
     /// Returns an urgent job with one task on each of \p count executors, which uses half of the accelerators there.
     static batch::Submission spread(const std::string &id, std::uint32_t count)
