Executors that get no work don't count for the half that may be held

Callers saw: accepted small jobs of lower priority never begin, though whole executors are free (LOST), once most executors are gone for good or have drained while a larger group waits.

Cause: at most half of the executors that report are held for groups of higher priority. The agent of an executor that is lost goes on reporting, so that eleven counted where two to four lived, and all of these were held.

Change: only executors that can be given work count (isSchedulable(), the rule that placing goes by). Ruled out: a rule of its own (listed, responsive, not lost, not leaving), which would be a second one for the same question.

Tests, failing before (28 in place of 30 small tasks run): executorsThatAreGoneDontCountForTheHoldLimit, drainingExecutorsDontCountForTheHoldLimit.

--- a/src/core/batch/holding.cpp
+++ b/src/core/batch/holding.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// At most one in this many of the reporting executors is held, so that work of lower priority continues as well.
+/// At most one in this many of the executors that get work is held, so that work of lower priority continues as well.
 constexpr std::size_t executorsPerHeld = 2;
 
 /// At most one accelerator in this many is held for expected urgent work.
@@ -87,8 +87,8 @@
 
 ExecutorHolds::ExecutorHolds(const ClusterState &cluster)
     : cluster_(cluster)
-    , reportingExecutors_(static_cast<std::size_t>(std::count_if(cluster.executors_.begin(), cluster.executors_.end(), [&cluster](const auto &entry) {
-        return cluster.now_ - entry.second.lastReport_ < reportTimeout;
+    , schedulableExecutors_(static_cast<std::size_t>(std::count_if(cluster.executors_.begin(), cluster.executors_.end(), [&cluster](const auto &entry) {
+        return isSchedulable(cluster, entry.second, entry.second.info_.service_);
     })))
 {
 }
@@ -101,7 +101,7 @@
 
 bool ExecutorHolds::isLimitReached() const
 {
-    return (held_.size() + 1) * executorsPerHeld > reportingExecutors_;
+    return (held_.size() + 1) * executorsPerHeld > schedulableExecutors_;
 }
 
 void ExecutorHolds::hold(const Executor &executor, std::int32_t rank)
--- a/src/core/batch/holding.h
+++ b/src/core/batch/holding.h
@@ -33,7 +33,7 @@
     const ClusterState &cluster_;
     std::map<ExecutorId, std::int32_t> held_; ///< by executor: highest rank number that may use it
     std::set<ServiceId> reservedServices_;
-    std::size_t reportingExecutors_ = 0; ///< number of executors with a recent report
+    std::size_t schedulableExecutors_ = 0; ///< number of executors that get work
 };
 
 /// Adds \p accelerators to the urgent use of \p service; negative to subtract.
--- a/tests/unit/batch_holding_test.cpp
+++ b/tests/unit/batch_holding_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(higherPriorityGangIsNotStarvedBySingleTasks);
     CPPUNIT_TEST(singleTasksContinueWhileAGangWaits);
     CPPUNIT_TEST(silentExecutorsDontCountForTheHoldLimit);
+    CPPUNIT_TEST(executorsThatAreGoneDontCountForTheHoldLimit);
+    CPPUNIT_TEST(drainingExecutorsDontCountForTheHoldLimit);
     CPPUNIT_TEST(zeroValueWorkHoldsNoExecutors);
     CPPUNIT_TEST(urgentReserveRemainsAfterUrgentWork);
     CPPUNIT_TEST(urgentReserveDecays);
@@ -56,12 +58,26 @@
         for (std::size_t executor = 4; executor < 8; ++executor) {
             bench.setSilent(executor, true);
         }
-        bench.advanceTime(1'500ms);
-        submitBackgroundLoad(bench);
-        bench.submit(makeGang("gang", 4, wholeExecutor, 10s));
-        endOneTaskPerExecutor(bench);
-        bench.advanceTime(200ms);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{30}, bench.running("flood").size()); // of 32
+        expectHalfOfFourHeld(bench);
+    }
+
+    // Review case 12: the agents of lost executors report on, so that all executors that were left were held, and no small task began.
+    void executorsThatAreGoneDontCountForTheHoldLimit()
+    {
+        LeaderBench bench(8);
+        for (std::size_t executor = 4; executor < 8; ++executor) {
+            bench.report(executor).responsive_ = false;
+        }
+        expectHalfOfFourHeld(bench);
+    }
+
+    void drainingExecutorsDontCountForTheHoldLimit()
+    {
+        LeaderBench bench(8);
+        for (std::size_t executor = 4; executor < 8; ++executor) {
+            bench.report(executor).executor_.draining_ = true;
+        }
+        expectHalfOfFourHeld(bench);
     }
 
     void zeroValueWorkHoldsNoExecutors()
@@ -95,6 +111,17 @@
     }
 
 private:
+    /// Fails unless a gang that waits beside single tasks is held two executors, if four of eight can be used.
+    static void expectHalfOfFourHeld(LeaderBench &bench)
+    {
+        bench.advanceTime(1'500ms);
+        submitBackgroundLoad(bench);
+        bench.submit(makeGang("gang", 4, wholeExecutor, 10s));
+        endOneTaskPerExecutor(bench);
+        bench.advanceTime(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{30}, bench.running("flood").size()); // of 32
+    }
+
     /// Fills all executors with single tasks of the lowest priority, and leaves more of them waiting.
     static void submitBackgroundLoad(LeaderBench &bench)
     {
