--- a/tests/unit/batch_silent_executor_test.cpp
+++ b/tests/unit/batch_silent_executor_test.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(startAfterAFailedPollIsCalledOnceAnotherIsAnswered);
     CPPUNIT_TEST(sameAnswersToAStopAreLoggedOnce);
     CPPUNIT_TEST(runsStartElsewhereThoughTheAgentRestartsBesideASilentExecutor);
+    CPPUNIT_TEST(runsStartElsewhereThoughTheLeaderChangesWhileAgentsAreYoung);
     CPPUNIT_TEST(executorThatFallsSilentBeforeItsFirstAnswerKeepsNoRuns);
     CPPUNIT_TEST(executorThatFallsSilentBeforeItsFirstHeartbeatKeepsNoRuns);
     CPPUNIT_TEST(newExecutorKeepsItsRunsWhileALateCallMayExtendTheirLeases);
@@ -256,6 +257,18 @@
         }
     }
 
+    // Review case 11 with a leader that ends a second later: the next one waited for calls of a former process of the agent, which none had made.
+    void runsStartElsewhereThoughTheLeaderChangesWhileAgentsAreYoung()
+    {
+        Cluster cluster(2, 1);
+        loseExecutorWithAJob(cluster, 4s);
+        cluster.run(1s);
+        cluster.replaceLeader(1s, false);
+        cluster.run(longestDetection + 5s);
+        expectNoViolation(cluster);
+        CPPUNIT_ASSERT(cluster.state(JobId("job")) == batch::JobState::Completed);
+    }
+
     // Soak seed 9010: the agent had never read the clock of an executor that started again under its id, and kept its runs for ever.
     void executorThatFallsSilentBeforeItsFirstAnswerKeepsNoRuns()
     {
