--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -344,12 +344,17 @@
     });
 }
 
+/// Freezes the executor with \p number, which is logged as \p kind.
+void FaultInjector::freezeFor(const std::string &kind, std::size_t number, milliseconds duration)
+{
+    logFault(kind, "executor " + std::to_string(number) + " for " + std::to_string(duration.count()) + " ms");
+    fleet_.executors_[number].freeze(duration);
+}
+
 void FaultInjector::freezeExecutor()
 {
     const std::size_t number = random_() % fleet_.executors_.size();
-    const milliseconds duration = randomDuration(300, 7'000);
-    logFault("freeze", "executor " + std::to_string(number) + " for " + std::to_string(duration.count()) + " ms");
-    fleet_.executors_[number].freeze(duration);
+    freezeFor("freeze", number, randomDuration(300, 7'000));
 }
 
 /// Lets an executor go on after its runs may have been started elsewhere.
@@ -359,9 +364,7 @@
         return;
     }
     const std::size_t number = random_() % fleet_.executors_.size();
-    const milliseconds duration = randomDuration(7'000, 25'000);
-    logFault("hang", "executor " + std::to_string(number) + " for " + std::to_string(duration.count()) + " ms");
-    fleet_.executors_[number].freeze(duration);
+    freezeFor("hang", number, randomDuration(7'000, 25'000));
 }
 
 /// Lets one executor at most fall silent for good: the others have to finish its work.
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -62,6 +62,7 @@
     void crashExecutor();
     void crashWithLateOrders();
     void startSmaller(std::size_t executor, milliseconds absence);
+    void freezeFor(const std::string &kind, std::size_t number, milliseconds duration);
     void freezeExecutor();
     void hangExecutor();
     void loseExecutor();
--- a/src/core/batch/host_speeds.cpp
+++ b/src/core/batch/host_speeds.cpp
@@ -47,7 +47,7 @@
 {
     std::map<std::string, const Executor *> present;
     for (const auto &[id, executor] : cluster.executors_) {
-        if (executor.info_.service_ == ServiceId()) {
+        if (executor.info_.service_.empty()) {
             continue;
         }
         const Incarnation &incarnation = executor.info_.incarnation_;
